Set down the shape: values, interfaces, duties, decisions and peers

Cause: a new project needs its folders, core types and the ring-joined threads before anything grows on them. Change: root package of values and interfaces; duty, route, placement, queue, pool, quorum, arbiter and member packages; peers toward endpoints and instances; stand-in endpoint. Nothing is tested yet.

--- /dev/null
+++ b/internal/peer/endpoint/owner.go
@@ -0,0 +1,424 @@
+package endpoint
+
+import (
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/failover/quorum"
+	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/traffic/queue"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// ownerCapacity is how many events may wait for the owner.
+	ownerCapacity = 16384
+	// openTimeout bounds the start-up of a connection.
+	openTimeout = 2 * time.Second
+	// refusedPause is the wait after an endpoint refused a connection.
+	refusedPause = 100 * time.Millisecond
+	// leaseSpan is how long a transaction may stay idle.
+	leaseSpan = 30 * time.Second
+	// tickInterval is the time between two looks at deadlines and the view.
+	tickInterval = 20 * time.Millisecond
+	// preparedLimit is how many statements one connection keeps.
+	preparedLimit = 512
+)
+
+var (
+	servedTotal  = metrics.NewCounter(`rosemarylb_requests_served_total`)
+	unknownTotal = metrics.NewCounter(`rosemarylb_requests_unknown_total`)
+	refusedTotal = metrics.NewCounter(`rosemarylb_requests_refused_total`)
+	heldSeconds  = metrics.NewHistogram(`rosemarylb_acknowledgement_wait_seconds`)
+)
+
+// Owner serves the endpoints placed on this instance: it holds their
+// connections, orders the requests that wait for them, and gives out answers
+// once they may be acknowledged.
+type Owner struct {
+	loops     *Loops
+	view      *duty.Latest[rosemarylb.View]
+	placement rosemarylb.Placement
+	reply     func(rosemarylb.Outcome)
+	want      func(Wanted) bool
+	ring      *duty.Ring[Event]
+
+	desks    map[rosemarylb.EndpointID]*desk
+	revision uint64
+	tickAt   time.Time
+}
+
+// OwnerOption changes an owner under construction.
+type OwnerOption func(*Owner)
+
+// WithReply sets where outcomes go. It must not wait.
+func WithReply(reply func(rosemarylb.Outcome)) OwnerOption {
+	return func(o *Owner) {
+		o.reply = reply
+	}
+}
+
+// WithWant sets where wishes for quick probes go. It must not wait.
+func WithWant(want func(Wanted) bool) OwnerOption {
+	return func(o *Owner) {
+		o.want = want
+	}
+}
+
+// NewOwner returns an owner that is not yet started.
+func NewOwner(
+	loops *Loops, view *duty.Latest[rosemarylb.View], placement rosemarylb.Placement, options ...OwnerOption,
+) *Owner {
+	o := &Owner{
+		loops:     loops,
+		view:      view,
+		placement: placement,
+		reply:     func(rosemarylb.Outcome) {},
+		want:      func(Wanted) bool { return true },
+		ring:      duty.NewRing[Event]("owner", ownerCapacity),
+		desks:     map[rosemarylb.EndpointID]*desk{},
+		tickAt:    time.Now(),
+	}
+	for _, option := range options {
+		option(o)
+	}
+	return o
+}
+
+// Ring returns the ring that feeds the owner.
+func (o *Owner) Ring() *duty.Ring[Event] {
+	return o.ring
+}
+
+// Start runs the owner. The returned function stops it and closes its
+// connections.
+func (o *Owner) Start() (*duty.Duty, func()) {
+	d, stop := duty.Start[Event]("owner", o, o.ring)
+	return d, func() {
+		stop()
+		for _, k := range o.desks {
+			for _, l := range k.links {
+				l.connection.Close()
+			}
+		}
+	}
+}
+
+// Opened implements Sink.
+func (o *Owner) Opened(c *Connection) {
+	o.ring.Put(opened{
+		connection: c,
+	})
+}
+
+// Answered implements Sink.
+func (o *Owner) Answered(c *Connection, a Answer) {
+	o.ring.Put(answered{
+		connection: c,
+		answer:     a,
+	})
+}
+
+// Closed implements Sink.
+func (o *Owner) Closed(c *Connection, sqlState string) {
+	o.ring.Put(closed{
+		connection: c,
+		sqlState:   sqlState,
+	})
+}
+
+// Handle implements duty.Handler.
+func (o *Owner) Handle(now time.Time, item Event) {
+	switch e := item.(type) {
+	case Submitted:
+		o.submit(e.Request, now)
+	case answered:
+		o.answered(e, now)
+	case opened:
+		o.opened(e.connection, now)
+	case closed:
+		o.closed(e, now)
+	case Observed:
+		o.observed(e.State, now)
+	case Appointed:
+		o.appointed(e.Primary, now)
+	case Silenced:
+		o.silenced(e.Endpoint, now)
+	case Canceled:
+		o.cancel(e.ID, now)
+	case Released:
+		o.released(e, now)
+	}
+}
+
+// Tick implements duty.Handler.
+func (o *Owner) Tick(now time.Time) {
+	o.tickAt = now.Add(tickInterval)
+	o.refresh(now)
+	for _, k := range o.desks {
+		o.expire(k, now)
+		o.dispatch(k, now)
+	}
+}
+
+// Next implements duty.Handler.
+func (o *Owner) Next() time.Time {
+	return o.tickAt
+}
+
+// refresh takes up the view: limits, primaries and what is owned here.
+func (o *Owner) refresh(now time.Time) {
+	v := o.view.Load()
+	for id, k := range o.desks {
+		spec, found := v.Service.Endpoint(id)
+		if found {
+			k.spec = spec
+			k.pool = k.pool.WithLimit(spec.Connections)
+		}
+		k.owned = found && o.owns(v, spec)
+		if p, known := v.Primary(k.spec.Database); known {
+			o.appoint(k, p, now)
+		}
+		o.releaseLost(v, k, now)
+		if !k.owned || k.spec.Leaving {
+			o.closeIdle(k)
+		}
+	}
+}
+
+func (o *Owner) owns(v rosemarylb.View, e rosemarylb.EndpointSpec) bool {
+	owner, found := o.placement.Owner(v.Members, e)
+	return found && owner.ID == v.Self.ID
+}
+
+// releaseLost ends the transactions of sessions whose instance is dead.
+func (o *Owner) releaseLost(v rosemarylb.View, k *desk, now time.Time) {
+	for _, e := range k.pool.Entries() {
+		if e.Holder.Instance == "" {
+			continue
+		}
+		if m, found := v.Member(e.Holder.Instance); found && m.Status == rosemarylb.MemberDead {
+			o.drop(k, e.ID, now)
+		}
+	}
+}
+
+func (o *Owner) closeIdle(k *desk) {
+	for _, e := range k.pool.Entries() {
+		if l, found := k.links[e.ID]; found && e.State == poolIdle {
+			l.connection.Close()
+		}
+	}
+}
+
+// desk returns the desk of an endpoint, made at its first use.
+func (o *Owner) desk(id rosemarylb.EndpointID, now time.Time) (*desk, bool) {
+	if k, found := o.desks[id]; found {
+		return k, true
+	}
+	v := o.view.Load()
+	spec, found := v.Service.Endpoint(id)
+	if !found {
+		return nil, false
+	}
+	database, _ := v.Service.Database(spec.Database)
+	queues := []queue.Option{
+		queue.WithShares(v.Service.Shares),
+		queue.WithSlots(spec.Slots),
+		queue.WithLimit(v.Service.QueueLimit),
+	}
+	k := newDesk(spec, quorum.NewMajority(database.Quorum()), queue.NewShares(queues...),
+		queue.NewShares(append(queues, queue.WithoutShedding())...))
+	k.owned = o.owns(v, spec)
+	if p, known := v.Primary(spec.Database); known {
+		o.appoint(k, p, now)
+	}
+	o.desks[id] = k
+	return k, true
+}
+
+func (o *Owner) submit(r rosemarylb.Request, now time.Time) {
+	k, found := o.desk(r.Target.Endpoint, now)
+	if !found {
+		o.refuse(r, rosemarylb.ReasonWrongOwner, nil)
+		return
+	}
+	if reason := o.admit(k, r, now); reason != rosemarylb.ReasonNone {
+		o.refuse(r, reason, k)
+		return
+	}
+	if r.Target.Term == 0 && r.Target.Lease == 0 && !k.satisfies(r) {
+		k.waiting = append(k.waiting, r)
+		o.wish(k, now)
+		return
+	}
+	o.enqueue(k, r, now)
+	o.dispatch(k, now)
+}
+
+// admit checks whether a request may run here at all.
+func (o *Owner) admit(k *desk, r rosemarylb.Request, now time.Time) rosemarylb.Reason {
+	if r.Target.Lease != 0 {
+		if !k.pool.LeasedBy(r.Target.Lease, r.ID) {
+			return rosemarylb.ReasonLeaseGone
+		}
+		return rosemarylb.ReasonNone
+	}
+	if !k.owned || k.spec.Leaving {
+		return rosemarylb.ReasonWrongOwner
+	}
+	if r.Target.Term > k.primary.Term {
+		o.appoint(k, rosemarylb.Primary{
+			Database: k.spec.Database,
+			Term:     r.Target.Term,
+			Endpoint: k.spec.ID,
+		}, now)
+	}
+	if (r.Target.Term != 0) != k.leads || (k.leads && r.Target.Term != k.primary.Term) {
+		return rosemarylb.ReasonWrongTerm
+	}
+	if k.leads && r.Floor.Known && r.Floor.Position.Term > k.primary.Term {
+		return rosemarylb.ReasonWrongTerm
+	}
+	return rosemarylb.ReasonNone
+}
+
+func (o *Owner) enqueue(k *desk, r rosemarylb.Request, now time.Time) {
+	q, within := k.fresh, r.Target.Lease != 0
+	if within {
+		q = k.within
+	}
+	q, reason := q.WithRequest(r, now)
+	if reason != rosemarylb.ReasonNone {
+		o.refuse(r, reason, k)
+		return
+	}
+	if within {
+		k.within = q
+	} else {
+		k.fresh = q
+	}
+}
+
+// dispatch gives free slots to waiting requests. Open transactions and new
+// requests take turns where both wait.
+func (o *Owner) dispatch(k *desk, now time.Time) {
+	for len(k.running) < k.spec.Slots {
+		k.turn = !k.turn
+		if k.turn && o.dispatchWithin(k, now) {
+			continue
+		}
+		if o.dispatchFresh(k, now) {
+			continue
+		}
+		if !o.dispatchWithin(k, now) {
+			return
+		}
+	}
+}
+
+func (o *Owner) dispatchWithin(k *desk, now time.Time) bool {
+	if !waits(k.within) {
+		return false
+	}
+	next, rest := k.within.Next(now)
+	k.within = rest
+	for _, r := range next.Expired {
+		o.refuse(r, rosemarylb.ReasonDeadline, k)
+	}
+	if !next.Found {
+		return false
+	}
+	if !k.pool.LeasedBy(next.Request.Target.Lease, next.Request.ID) {
+		o.refuse(next.Request, rosemarylb.ReasonLeaseGone, k)
+		return true
+	}
+	o.run(k, next.Request, next.Request.Target.Lease, now)
+	return true
+}
+
+func (o *Owner) dispatchFresh(k *desk, now time.Time) bool {
+	if !waits(k.fresh) || !k.mayBegin() {
+		return false
+	}
+	idle, found := k.pool.Idle()
+	if !found {
+		o.open(k, now)
+		return false
+	}
+	next, rest := k.fresh.Next(now)
+	k.fresh = rest
+	for _, r := range next.Expired {
+		o.refuse(r, rosemarylb.ReasonDeadline, k)
+	}
+	if !next.Found {
+		return false
+	}
+	if reason := o.admit(k, next.Request, now); reason != rosemarylb.ReasonNone {
+		o.refuse(next.Request, reason, k)
+		return true
+	}
+	o.run(k, next.Request, idle.ID, now)
+	return true
+}
+
+// open starts one more connection unless enough are opening for what waits.
+func (o *Owner) open(k *desk, now time.Time) {
+	if !k.owned || !k.pool.MayOpen(now) || k.pool.Count(poolOpening) >= k.spec.Slots {
+		return
+	}
+	c := o.loops.Open(k.spec, "data "+string(o.view.Load().Self.ID), o)
+	if c == nil {
+		return
+	}
+	k.pool = k.pool.WithOpening(c.ID, now.Add(openTimeout))
+	k.links[c.ID] = &link{
+		connection: c,
+		prepared:   map[string]struct{}{},
+	}
+}
+
+// run sends a request. From here on it may have had an effect.
+func (o *Owner) run(k *desk, r rosemarylb.Request, id uint64, now time.Time) {
+	l := k.links[id]
+	var missing []rosemarylb.Statement
+	for _, s := range r.Statements {
+		if _, done := l.prepared[s.Name]; !done {
+			missing = append(missing, s)
+		}
+	}
+	prefix, err := parses(missing)
+	if err != nil {
+		o.refuse(r, rosemarylb.ReasonTooLarge, k)
+		return
+	}
+	k.pool = k.pool.WithBusy(id, r)
+	k.running[id] = &running{
+		request:    r,
+		connection: l.connection,
+		injected:   missing,
+		startedAt:  now,
+	}
+	l.connection.Send(append(prefix, r.Payload...))
+}
+
+func (o *Owner) refuse(r rosemarylb.Request, reason rosemarylb.Reason, k *desk) {
+	refusedTotal.Inc()
+	outcome := rosemarylb.NewNotRun(r.ID, reason)
+	if k != nil {
+		outcome = outcome.WithState(k.state)
+		outcome.Endpoint = k.spec.ID
+	}
+	o.reply(outcome)
+}
+
+func (o *Owner) wish(k *desk, now time.Time) {
+	if now.Before(k.wantAt) {
+		return
+	}
+	k.wantAt = now.Add(wantedSpan / 2)
+	o.want(Wanted{
+		Database: k.spec.Database,
+	})
+}
--- /dev/null
+++ b/internal/peer/endpoint/settle.go
@@ -0,0 +1,439 @@
+package endpoint
+
+import (
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/traffic/pool"
+)
+
+// Short names of the pool's states.
+const (
+	poolOpening = pool.StateOpening
+	poolIdle    = pool.StateIdle
+	poolLeased  = pool.StateLeased
+)
+
+// answered takes an endpoint's whole answer.
+func (o *Owner) answered(e answered, now time.Time) {
+	k, found := o.desks[e.connection.Endpoint]
+	if !found {
+		return
+	}
+	r, found := k.running[e.connection.ID]
+	if !found {
+		// An answer that nobody asked for: the connection is out of step.
+		o.drop(k, e.connection.ID, now)
+		return
+	}
+	delete(k.running, e.connection.ID)
+	o.account(k, r, now)
+	if !k.leads && k.state.Applied.Less(e.answer.Position) {
+		k.state = k.state.WithApplied(e.answer.Position)
+	}
+	outcome := o.outcome(k, r, e.answer)
+	o.settleConnection(k, r, e.answer, now)
+	o.settleOutcome(k, r, e.answer, outcome, now)
+	o.dispatch(k, now)
+}
+
+func (o *Owner) account(k *desk, r *running, now time.Time) {
+	service := now.Sub(r.startedAt)
+	if r.request.Target.Lease != 0 {
+		k.within = k.within.WithServed(r.request.Rank, service)
+		return
+	}
+	k.fresh = k.fresh.WithServed(r.request.Rank, service)
+}
+
+func (o *Owner) outcome(k *desk, r *running, a Answer) rosemarylb.Outcome {
+	payload, done := stripParses(a.Payload, len(r.injected))
+	l := k.links[r.connection.ID]
+	for _, s := range r.injected[:done] {
+		l.prepared[s.Name] = struct{}{}
+	}
+	return rosemarylb.Outcome{
+		ID:       r.request.ID,
+		Kind:     rosemarylb.OutcomeDone,
+		Endpoint: k.spec.ID,
+		Position: a.Position,
+		State:    k.state,
+		Payload:  payload,
+	}
+}
+
+// settleConnection returns the connection to the pool if it is clean.
+func (o *Owner) settleConnection(k *desk, r *running, a Answer, now time.Time) {
+	id := r.connection.ID
+	if a.Status != 'I' {
+		k.pool = k.pool.WithLease(id, now.Add(leaseSpan))
+		return
+	}
+	if a.TooLarge || len(k.links[id].prepared) > preparedLimit || !k.owned {
+		o.drop(k, id, now)
+		return
+	}
+	k.pool = k.pool.WithIdle(id)
+}
+
+// settleOutcome gives the answer out, or holds it until it is confirmed.
+func (o *Owner) settleOutcome(k *desk, r *running, a Answer, outcome rosemarylb.Outcome, now time.Time) {
+	switch {
+	case a.TooLarge && r.request.Repeatable():
+		outcome = rosemarylb.NewNotRun(r.request.ID, rosemarylb.ReasonTooLarge)
+	case a.TooLarge:
+		outcome = rosemarylb.NewUnknown(r.request.ID, rosemarylb.ReasonTooLarge)
+	case a.Status != 'I':
+		outcome.Lease = r.connection.ID
+		outcome.Failed = a.Status == 'E'
+		outcome.Position = rosemarylb.Position{}
+	case a.SQLState == stateReadOnly && r.request.Target.Lease == 0:
+		outcome = rosemarylb.NewNotRun(r.request.ID, rosemarylb.ReasonReadOnly).WithState(k.state)
+	case a.SQLState != "" || r.request.Class == rosemarylb.ClassRollback:
+		outcome.Position = rosemarylb.Position{}
+	case k.leads || r.request.Class.MayCommit():
+		o.hold(k, r.request, outcome, now)
+		return
+	}
+	o.give(outcome)
+}
+
+func (o *Owner) give(outcome rosemarylb.Outcome) {
+	switch outcome.Kind {
+	case rosemarylb.OutcomeUnknown:
+		unknownTotal.Inc()
+	case rosemarylb.OutcomeDone:
+		servedTotal.Inc()
+	default:
+		refusedTotal.Inc()
+	}
+	o.reply(outcome)
+}
+
+// hold keeps an answer of the primary until a majority confirms it. A read
+// that must be current needs a confirmation asked for after its start.
+func (o *Owner) hold(k *desk, r rosemarylb.Request, outcome rosemarylb.Outcome, now time.Time) {
+	h := held{
+		request: r,
+		outcome: outcome,
+	}
+	if r.Class == rosemarylb.ClassRead && (!r.Floor.Known || r.Latest) {
+		h.since = r.ArrivedAt
+	}
+	if k.confirms(h) {
+		o.give(outcome)
+		return
+	}
+	k.held = append(k.held, h)
+	o.wish(k, now)
+}
+
+// confirms reports whether an answer may be given out.
+func (d *desk) confirms(h held) bool {
+	return d.leads && d.acks.Confirmed(h.outcome.Position, h.since)
+}
+
+// abandon gives the outcome of an answer that can no longer be confirmed.
+func abandon(h held) rosemarylb.Outcome {
+	if h.request.Repeatable() {
+		return rosemarylb.NewNotRun(h.request.ID, rosemarylb.ReasonWrongTerm)
+	}
+	return rosemarylb.NewUnknown(h.request.ID, rosemarylb.ReasonReplaced)
+}
+
+// recheck gives out the held answers that are confirmed by now.
+func (o *Owner) recheck(k *desk, now time.Time) {
+	var still []held
+	lost := !k.leads || k.acks.Replaced()
+	for _, h := range k.held {
+		switch {
+		case k.confirms(h):
+			heldSeconds.Update(now.Sub(h.request.ArrivedAt).Seconds())
+			o.give(h.outcome)
+		case lost:
+			o.give(abandon(h))
+		default:
+			still = append(still, h)
+		}
+	}
+	k.held = still
+	if len(still) > 0 {
+		o.wish(k, now)
+	}
+}
+
+// observed takes an endpoint's state: as a replica's, for the reads that wait
+// here, and as a confirmation for the primary of its database.
+func (o *Owner) observed(s rosemarylb.EndpointState, now time.Time) {
+	spec, found := o.view.Load().Service.Endpoint(s.ID)
+	if !found {
+		return
+	}
+	for _, k := range o.desks {
+		if k.spec.Database != spec.Database {
+			continue
+		}
+		k.acks = k.acks.WithState(s)
+		if k.spec.ID == s.ID {
+			k.state = s
+			o.admitWaiting(k, now)
+		}
+		o.recheck(k, now)
+	}
+}
+
+func (o *Owner) admitWaiting(k *desk, now time.Time) {
+	var still []rosemarylb.Request
+	for _, r := range k.waiting {
+		if k.satisfies(r) {
+			o.enqueue(k, r, now)
+			continue
+		}
+		still = append(still, r)
+	}
+	k.waiting = still
+	if len(still) > 0 {
+		o.wish(k, now)
+	}
+	o.dispatch(k, now)
+}
+
+func (o *Owner) appointed(p rosemarylb.Primary, now time.Time) {
+	for _, k := range o.desks {
+		if k.spec.Database == p.Database {
+			o.appoint(k, p, now)
+		}
+	}
+}
+
+// appoint makes a desk follow a primary of a later term.
+func (o *Owner) appoint(k *desk, p rosemarylb.Primary, now time.Time) {
+	if !p.Supersedes(k.primary) {
+		return
+	}
+	k.primary = p
+	k.leads = p.Endpoint == k.spec.ID
+	k.acks = k.acks.WithPrimary(p)
+	o.recheck(k, now)
+	if !k.leads {
+		return
+	}
+	for _, r := range k.waiting {
+		o.refuse(r, rosemarylb.ReasonWrongTerm, k)
+	}
+	k.waiting = nil
+}
+
+// silenced breaks the connections to an endpoint that does not answer.
+func (o *Owner) silenced(id rosemarylb.EndpointID, now time.Time) {
+	k, found := o.desks[id]
+	if !found {
+		return
+	}
+	for _, e := range k.pool.Entries() {
+		o.drop(k, e.ID, now)
+	}
+	k.pool = k.pool.WithBackoff(now.Add(refusedPause))
+	for _, r := range k.waiting {
+		o.refuse(r, rosemarylb.ReasonUnreachable, k)
+	}
+	k.waiting = nil
+	o.refuseFresh(k, now)
+}
+
+// refuseFresh refuses the new requests that wait for an endpoint.
+func (o *Owner) refuseFresh(k *desk, now time.Time) {
+	for waits(k.fresh) {
+		next, rest := k.fresh.Next(now)
+		k.fresh = rest
+		for _, r := range next.Expired {
+			o.refuse(r, rosemarylb.ReasonDeadline, k)
+		}
+		if next.Found {
+			o.refuse(next.Request, rosemarylb.ReasonUnreachable, k)
+		}
+	}
+}
+
+func (o *Owner) opened(c *Connection, now time.Time) {
+	k, found := o.desks[c.Endpoint]
+	if !found {
+		c.Close()
+		return
+	}
+	if e, held := k.pool.Entry(c.ID); held && e.State == poolOpening {
+		k.pool = k.pool.WithIdle(c.ID)
+		o.dispatch(k, now)
+		return
+	}
+	c.Close()
+}
+
+func (o *Owner) closed(e closed, now time.Time) {
+	k, found := o.desks[e.connection.Endpoint]
+	if !found {
+		return
+	}
+	entry, held := k.pool.Entry(e.connection.ID)
+	if held && entry.State == poolOpening {
+		k.pool = k.pool.WithBackoff(now.Add(refusedPause))
+	}
+	o.drop(k, e.connection.ID, now)
+	if held && entry.State == poolOpening && e.sqlState != stateTooManyConnections && k.pool.Size() == 0 {
+		o.refuseFresh(k, now)
+	}
+	o.dispatch(k, now)
+}
+
+// drop closes a connection and settles the request that was on it.
+func (o *Owner) drop(k *desk, id uint64, now time.Time) {
+	if l, found := k.links[id]; found {
+		l.connection.Close()
+	}
+	delete(k.links, id)
+	k.pool = k.pool.WithoutEntry(id)
+	r, found := k.running[id]
+	if !found {
+		return
+	}
+	delete(k.running, id)
+	o.give(lost(r.request).WithState(k.state))
+}
+
+// lost is the outcome of a request whose connection broke after it was sent.
+// Without a commit nothing of it can last.
+func lost(r rosemarylb.Request) rosemarylb.Outcome {
+	switch r.Class {
+	case rosemarylb.ClassRead:
+		return rosemarylb.NewNotRun(r.ID, rosemarylb.ReasonUnreachable)
+	case rosemarylb.ClassBegin, rosemarylb.ClassWithin, rosemarylb.ClassRollback:
+		return rosemarylb.NewNotRun(r.ID, rosemarylb.ReasonLeaseGone)
+	default:
+		return rosemarylb.NewUnknown(r.ID, rosemarylb.ReasonLost)
+	}
+}
+
+// expire settles everything of a desk whose deadline has passed.
+func (o *Owner) expire(k *desk, now time.Time) {
+	var waiting []rosemarylb.Request
+	for _, r := range k.waiting {
+		if now.After(r.Target.WaitUntil) {
+			o.refuse(r, rosemarylb.ReasonBehind, k)
+			continue
+		}
+		waiting = append(waiting, r)
+	}
+	k.waiting = waiting
+	var still []held
+	for _, h := range k.held {
+		if now.After(h.request.Deadline) {
+			o.give(abandon(h))
+			continue
+		}
+		still = append(still, h)
+	}
+	k.held = still
+	for id, r := range k.running {
+		if now.After(r.request.Deadline) {
+			o.drop(k, id, now)
+		}
+	}
+	for _, e := range k.pool.Overdue(now) {
+		o.drop(k, e.ID, now)
+	}
+	if len(k.held) > 0 || len(k.waiting) > 0 {
+		o.wish(k, now)
+	}
+}
+
+// cancel withdraws a request that waits, or asks the endpoint to stop it.
+func (o *Owner) cancel(id rosemarylb.RequestID, now time.Time) {
+	for _, k := range o.desks {
+		if rest, found := k.fresh.WithoutRequest(id); found {
+			k.fresh = rest
+			o.reply(rosemarylb.NewNotRun(id, rosemarylb.ReasonCanceled))
+			return
+		}
+		for _, r := range k.running {
+			if r.request.ID == id {
+				o.loops.Cancel(r.connection)
+				return
+			}
+		}
+	}
+}
+
+// released rolls back the transaction of a session that is gone.
+func (o *Owner) released(e Released, now time.Time) {
+	k, found := o.desks[e.Endpoint]
+	if !found || !k.pool.LeasedBy(e.Lease, e.ID) {
+		return
+	}
+	r := rosemarylb.Request{
+		ID:       e.ID,
+		Database: k.spec.Database,
+		Class:    rosemarylb.ClassRollback,
+		Deadline: now.Add(openTimeout),
+		Payload:  query("ROLLBACK"),
+		Target: rosemarylb.Target{
+			Endpoint: e.Endpoint,
+			Lease:    e.Lease,
+		},
+	}
+	o.run(k, r, e.Lease, now)
+}
+
+// DeskReport is one endpoint's part of a dump.
+type DeskReport struct {
+	// Endpoint names the endpoint.
+	Endpoint string `json:"endpoint"`
+	// Owned is true when this instance owns it.
+	Owned bool `json:"owned"`
+	// Primary is the known primary of its database, and Term its term.
+	Primary string `json:"primary"`
+	// Term is the known term.
+	Term uint64 `json:"term"`
+	// Applied is the endpoint's last known position.
+	Applied string `json:"applied"`
+	// Connections counts the connections by state.
+	Connections map[string]int `json:"connections"`
+	// Running is how many requests it works on.
+	Running int `json:"running"`
+	// Queued counts the waiting requests by rank.
+	Queued map[string]int `json:"queued"`
+	// Held is how many answers wait for a confirmation.
+	Held int `json:"held"`
+	// Waiting is how many reads wait for the replica.
+	Waiting int `json:"waiting"`
+}
+
+// Dump implements duty.Handler.
+func (o *Owner) Dump() any {
+	reports := []DeskReport{}
+	for _, k := range o.desks {
+		reports = append(reports, k.report())
+	}
+	return reports
+}
+
+func (d *desk) report() DeskReport {
+	r := DeskReport{
+		Endpoint:    string(d.spec.ID),
+		Owned:       d.owned,
+		Primary:     string(d.primary.Endpoint),
+		Term:        uint64(d.primary.Term),
+		Applied:     d.state.Applied.String(),
+		Connections: map[string]int{},
+		Running:     len(d.running),
+		Queued:      map[string]int{},
+		Held:        len(d.held),
+		Waiting:     len(d.waiting),
+	}
+	for _, e := range d.pool.Entries() {
+		r.Connections[e.State.String()]++
+	}
+	for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
+		r.Queued[rank.String()] = d.fresh.Depth(rank) + d.within.Depth(rank)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/traffic/queue/lane.go
@@ -0,0 +1,99 @@
+package queue
+
+import (
+	"rosemarylb"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// lane holds the waiting requests of one rank. Callers take turns, so that
+// none can crowd out its peers.
+type lane struct {
+	depth   int
+	turns   *immutable.List[string]
+	waiting *immutable.Map[string, *immutable.List[rosemarylb.Request]]
+}
+
+func newLane() lane {
+	return lane{
+		turns:   immutable.NewList[string](),
+		waiting: immutable.NewMap[string, *immutable.List[rosemarylb.Request]](nil),
+	}
+}
+
+func (l lane) withRequest(r rosemarylb.Request) lane {
+	l.depth++
+	mine, found := l.waiting.Get(r.Caller)
+	if !found {
+		mine = immutable.NewList[rosemarylb.Request]()
+		l.turns = l.turns.Append(r.Caller)
+	}
+	l.waiting = l.waiting.Set(r.Caller, mine.Append(r))
+	return l
+}
+
+// pop returns the next request and the lane without it.
+func (l lane) pop() (rosemarylb.Request, lane) {
+	l.depth--
+	caller := l.turns.Get(0)
+	l.turns = l.turns.Slice(1, l.turns.Len())
+	mine, _ := l.waiting.Get(caller)
+	r := mine.Get(0)
+	if mine.Len() == 1 {
+		l.waiting = l.waiting.Delete(caller)
+		return r, l
+	}
+	l.waiting = l.waiting.Set(caller, mine.Slice(1, mine.Len()))
+	l.turns = l.turns.Append(caller)
+	return r, l
+}
+
+// without returns the lane without one request, false if it is not there.
+func (l lane) without(id rosemarylb.RequestID) (lane, bool) {
+	i := l.waiting.Iterator()
+	for !i.Done() {
+		caller, mine, _ := i.Next()
+		rest, found := remove(mine, id)
+		if !found {
+			continue
+		}
+		l.depth--
+		if rest.Len() > 0 {
+			l.waiting = l.waiting.Set(caller, rest)
+			return l, true
+		}
+		l.waiting = l.waiting.Delete(caller)
+		l.turns = removeTurn(l.turns, caller)
+		return l, true
+	}
+	return l, false
+}
+
+func remove(
+	list *immutable.List[rosemarylb.Request], id rosemarylb.RequestID,
+) (*immutable.List[rosemarylb.Request], bool) {
+	rest := immutable.NewList[rosemarylb.Request]()
+	found := false
+	i := list.Iterator()
+	for !i.Done() {
+		_, r := i.Next()
+		if r.ID == id {
+			found = true
+			continue
+		}
+		rest = rest.Append(r)
+	}
+	return rest, found
+}
+
+func removeTurn(turns *immutable.List[string], caller string) *immutable.List[string] {
+	rest := immutable.NewList[string]()
+	i := turns.Iterator()
+	for !i.Done() {
+		_, name := i.Next()
+		if name != caller {
+			rest = rest.Append(name)
+		}
+	}
+	return rest
+}
