--- a/internal/peer/endpoint/desk.go
+++ b/internal/peer/endpoint/desk.go
@@ -49,7 +49,10 @@
 
 func newDesk(spec rosemarylb.EndpointSpec, acks rosemarylb.Acknowledger, fresh, within rosemarylb.Queue) *desk {
 	return &desk{
-		spec:    spec,
+		spec: spec,
+		state: rosemarylb.EndpointState{
+			ID: spec.ID,
+		},
 		acks:    acks,
 		pool:    pool.NewPool(spec.Connections),
 		fresh:   fresh,
@@ -87,29 +90,3 @@
 	}
 	return r.AsOf.IsZero() || !d.state.CurrentAt.Before(r.AsOf)
 }
-
-// next returns the deadline of the desk's next tick.
-func (d *desk) next() time.Time {
-	var next time.Time
-	earlier := func(at time.Time) {
-		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
-	}
-	for _, w := range d.waiting {
-		earlier(w.Target.WaitUntil)
-	}
-	for _, h := range d.held {
-		earlier(h.request.Deadline)
-	}
-	for _, r := range d.running {
-		earlier(r.request.Deadline)
-	}
-	for _, e := range d.pool.Entries() {
-		earlier(e.Until)
-	}
-	if waits(d.fresh) {
-		earlier(d.pool.RetryAt())
-	}
-	return next
-}
--- a/internal/peer/endpoint/loops.go
+++ b/internal/peer/endpoint/loops.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
 const (
@@ -41,7 +40,7 @@
 	client, err := gnet.NewClient(&handler{},
 		gnet.WithNumEventLoop(count),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithLogLevel(logging.FatalLevel))
+		gnet.WithLogger(duty.Quiet{}))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "event loops toward endpoints")
 	}
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -44,9 +44,8 @@
 	want      func(Wanted) bool
 	ring      *duty.Ring[Event]
 
-	desks    map[rosemarylb.EndpointID]*desk
-	revision uint64
-	tickAt   time.Time
+	desks  map[rosemarylb.EndpointID]*desk
+	tickAt time.Time
 }
 
 // OwnerOption changes an owner under construction.
@@ -146,7 +145,7 @@
 	case Silenced:
 		o.silenced(e.Endpoint, now)
 	case Canceled:
-		o.cancel(e.ID, now)
+		o.cancel(e.ID)
 	case Released:
 		o.released(e, now)
 	}
@@ -199,7 +198,7 @@
 			continue
 		}
 		if m, found := v.Member(e.Holder.Instance); found && m.Status == rosemarylb.MemberDead {
-			o.drop(k, e.ID, now)
+			o.drop(k, e.ID)
 		}
 	}
 }
@@ -407,8 +406,7 @@
 	refusedTotal.Inc()
 	outcome := rosemarylb.NewNotRun(r.ID, reason)
 	if k != nil {
-		outcome = outcome.WithState(k.state)
-		outcome.Endpoint = k.spec.ID
+		outcome = outcome.WithState(k.state).WithEndpoint(k.spec.ID)
 	}
 	o.reply(outcome)
 }
--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -23,7 +23,7 @@
 	r, found := k.running[e.connection.ID]
 	if !found {
 		// An answer that nobody asked for: the connection is out of step.
-		o.drop(k, e.connection.ID, now)
+		o.drop(k, e.connection.ID)
 		return
 	}
 	delete(k.running, e.connection.ID)
@@ -70,7 +70,7 @@
 		return
 	}
 	if a.TooLarge || len(k.links[id].prepared) > preparedLimit || !k.owned {
-		o.drop(k, id, now)
+		o.drop(k, id)
 		return
 	}
 	k.pool = k.pool.WithIdle(id)
@@ -84,13 +84,15 @@
 	case a.TooLarge:
 		outcome = rosemarylb.NewUnknown(r.request.ID, rosemarylb.ReasonTooLarge)
 	case a.Status != 'I':
-		outcome.Lease = r.connection.ID
-		outcome.Failed = a.Status == 'E'
-		outcome.Position = rosemarylb.Position{}
+		outcome = outcome.WithLease(r.connection.ID, a.Status == 'E')
 	case a.SQLState == stateReadOnly && r.request.Target.Lease == 0:
 		outcome = rosemarylb.NewNotRun(r.request.ID, rosemarylb.ReasonReadOnly).WithState(k.state)
+	case a.SQLState != "" && r.request.Key != "":
+		// The error may tell that the key is recorded: that must be confirmed.
+		o.hold(k, r.request, outcome, now)
+		return
 	case a.SQLState != "" || r.request.Class == rosemarylb.ClassRollback:
-		outcome.Position = rosemarylb.Position{}
+		outcome = outcome.WithoutPosition()
 	case k.leads || r.request.Class.MayCommit():
 		o.hold(k, r.request, outcome, now)
 		return
@@ -231,7 +233,7 @@
 		return
 	}
 	for _, e := range k.pool.Entries() {
-		o.drop(k, e.ID, now)
+		o.drop(k, e.ID)
 	}
 	k.pool = k.pool.WithBackoff(now.Add(refusedPause))
 	for _, r := range k.waiting {
@@ -278,7 +280,7 @@
 	if held && entry.State == poolOpening {
 		k.pool = k.pool.WithBackoff(now.Add(refusedPause))
 	}
-	o.drop(k, e.connection.ID, now)
+	o.drop(k, e.connection.ID)
 	if held && entry.State == poolOpening && e.sqlState != stateTooManyConnections && k.pool.Size() == 0 {
 		o.refuseFresh(k, now)
 	}
@@ -286,7 +288,7 @@
 }
 
 // drop closes a connection and settles the request that was on it.
-func (o *Owner) drop(k *desk, id uint64, now time.Time) {
+func (o *Owner) drop(k *desk, id uint64) {
 	if l, found := k.links[id]; found {
 		l.connection.Close()
 	}
@@ -335,11 +337,11 @@
 	k.held = still
 	for id, r := range k.running {
 		if now.After(r.request.Deadline) {
-			o.drop(k, id, now)
+			o.drop(k, id)
 		}
 	}
 	for _, e := range k.pool.Overdue(now) {
-		o.drop(k, e.ID, now)
+		o.drop(k, e.ID)
 	}
 	if len(k.held) > 0 || len(k.waiting) > 0 {
 		o.wish(k, now)
@@ -347,7 +349,7 @@
 }
 
 // cancel withdraws a request that waits, or asks the endpoint to stop it.
-func (o *Owner) cancel(id rosemarylb.RequestID, now time.Time) {
+func (o *Owner) cancel(id rosemarylb.RequestID) {
 	for _, k := range o.desks {
 		if rest, found := k.fresh.WithoutRequest(id); found {
 			k.fresh = rest
--- a/internal/peer/instance/codec.go
+++ b/internal/peer/instance/codec.go
@@ -51,6 +51,7 @@
 		Class:           uint32(r.Class),
 		Latest:          r.Latest,
 		RemainingMicros: r.Deadline.Sub(now).Microseconds(),
+		QueueMicros:     r.QueueUntil.Sub(now).Microseconds(),
 		Key:             r.Key,
 		Endpoint:        string(r.Target.Endpoint),
 		Lease:           r.Target.Lease,
@@ -80,15 +81,16 @@
 // of range is taken for the least harmful one.
 func decodeRequest(m *link.Request, now time.Time) rosemarylb.Request {
 	r := rosemarylb.Request{
-		ID:        decodeID(m.GetId()),
-		Database:  rosemarylb.DatabaseName(m.GetDatabase()),
-		Caller:    m.GetCaller(),
-		Rank:      rosemarylb.Rank(min(m.GetRank(), rosemarylb.RankCount-1)),
-		Class:     decodeClass(m.GetClass()),
-		Latest:    m.GetLatest(),
-		ArrivedAt: now,
-		Deadline:  now.Add(time.Duration(m.GetRemainingMicros()) * time.Microsecond),
-		Key:       m.GetKey(),
+		ID:         decodeID(m.GetId()),
+		Database:   rosemarylb.DatabaseName(m.GetDatabase()),
+		Caller:     m.GetCaller(),
+		Rank:       rosemarylb.Rank(min(m.GetRank(), rosemarylb.RankCount-1)),
+		Class:      decodeClass(m.GetClass()),
+		Latest:     m.GetLatest(),
+		ArrivedAt:  now,
+		QueueUntil: now.Add(time.Duration(m.GetQueueMicros()) * time.Microsecond),
+		Deadline:   now.Add(time.Duration(m.GetRemainingMicros()) * time.Microsecond),
+		Key:        m.GetKey(),
 		Target: rosemarylb.Target{
 			Endpoint: rosemarylb.EndpointID(m.GetEndpoint()),
 			Lease:    m.GetLease(),
--- a/internal/peer/instance/sender.go
+++ b/internal/peer/instance/sender.go
@@ -40,7 +40,7 @@
 type outbound struct {
 	to       rosemarylb.Member
 	envelope *link.Envelope
-	failed   func()
+	failed   func(left bool)
 }
 
 // Senders are the threads that send to other instances.
@@ -77,8 +77,8 @@
 }
 
 // send offers an envelope, false when the ring is full. failed is called when
-// the envelope certainly did not leave.
-func (s *Senders) send(to rosemarylb.Member, e *link.Envelope, failed func()) bool {
+// it could not be sent, with whether it may have left all the same.
+func (s *Senders) send(to rosemarylb.Member, e *link.Envelope, failed func(left bool)) bool {
 	e.From = string(s.self)
 	ring := s.rings[placement.Weight(to.ID, "sender")%senderCount]
 	return ring.Offer(outbound{
@@ -89,8 +89,8 @@
 }
 
 // SendRequest sends a request to the instance that owns its endpoint; failed
-// is called when it certainly did not leave.
-func (s *Senders) SendRequest(to rosemarylb.Member, r rosemarylb.Request, now time.Time, failed func()) bool {
+// is called when it could not be sent, with whether it may have left.
+func (s *Senders) SendRequest(to rosemarylb.Member, r rosemarylb.Request, now time.Time, failed func(left bool)) bool {
 	return s.send(to, &link.Envelope{
 		Body: &link.Envelope_Request{
 			Request: encodeRequest(r, now),
@@ -154,7 +154,7 @@
 func (s *sender) Handle(now time.Time, o outbound) {
 	st := s.stream(o.to.Address, now)
 	if st == nil || st.client == nil {
-		o.fail()
+		o.fail(false)
 		return
 	}
 	timer := time.AfterFunc(sendTimeout, st.cancel)
@@ -163,14 +163,14 @@
 	sentTotal.Inc()
 	sentBytes.Add(proto.Size(o.envelope))
 	if err != nil {
-		// The envelope may have left: its sender learns by its deadline.
+		o.fail(true)
 		s.drop(o.to.Address, now)
 	}
 }
 
-func (o outbound) fail() {
+func (o outbound) fail(left bool) {
 	if o.failed != nil {
-		o.failed()
+		o.failed(left)
 	}
 }
 
--- /dev/null
+++ b/internal/shell/command/demo.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"rosemarylb/internal/shell/demo"
+
+	"github.com/cockroachdb/errors"
+)
+
+type demoCommand struct {
+	*shell
+	files
+
+	Port int  `long:"port" env:"ROSEMARYLB_DEMO_PORT" default:"6432" description:"port of the first instance; the others follow"`
+	Once bool `long:"once" description:"run the main job and stop"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	d, _, err := c.document()
+	if err != nil {
+		return err
+	}
+	run, stop, err := demo.NewDemo(d, c.Port, c.log)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	text, err := run.MainJob()
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprint(c.out, text); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	if c.Once {
+		return nil
+	}
+	if _, err := fmt.Fprint(c.out, run.Hints()); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	return nil
+}
--- a/internal/standin/endpoint/engine.go
+++ b/internal/standin/endpoint/engine.go
@@ -91,7 +91,9 @@
 	if err != nil {
 		return result{}, err
 	}
-	defer rows.Close()
+	defer func() {
+		_ = rows.Close()
+	}()
 	r := result{}
 	r.columns, err = columnsOf(rows)
 	if err != nil {
--- a/internal/traffic/queue/shares.go
+++ b/internal/traffic/queue/shares.go
@@ -83,7 +83,7 @@
 	if s.lanes[r.Rank].depth >= s.limit {
 		return s, rosemarylb.ReasonOverload
 	}
-	if s.shed && r.Target.Lease == 0 && now.Add(s.delay(r.Rank)).After(r.Deadline) {
+	if s.shed && r.Target.Lease == 0 && now.Add(s.delay(r.Rank)).After(r.QueueUntil) {
 		return s, rosemarylb.ReasonDeadline
 	}
 	if s.lanes[r.Rank].depth == 0 {
@@ -136,7 +136,7 @@
 	if s.shed {
 		now = now.Add(s.service[r.Rank])
 	}
-	return now.After(r.Deadline)
+	return now.After(r.QueueUntil)
 }
 
 // choose returns the rank to serve: one owed a part of its least share, the
--- a/outcome.go
+++ b/outcome.go
@@ -125,6 +125,26 @@
 	}
 }
 
+// WithLease returns the outcome that leaves a transaction open on a
+// connection. What it wrote is not committed, so it has no position.
+func (o Outcome) WithLease(lease uint64, failed bool) Outcome {
+	o.Lease = lease
+	o.Failed = failed
+	return o.WithoutPosition()
+}
+
+// WithoutPosition returns the outcome that tells of no position.
+func (o Outcome) WithoutPosition() Outcome {
+	o.Position = Position{}
+	return o
+}
+
+// WithEndpoint returns the outcome of another endpoint.
+func (o Outcome) WithEndpoint(id EndpointID) Outcome {
+	o.Endpoint = id
+	return o
+}
+
 // WithState returns the outcome with the state of its endpoint.
 func (o Outcome) WithState(s EndpointState) Outcome {
 	o.State = s
--- a/request.go
+++ b/request.go
@@ -82,6 +82,8 @@
 	AsOf time.Time
 	// ArrivedAt is when the instance received the request.
 	ArrivedAt time.Time
+	// QueueUntil is when it is refused if its service has not begun.
+	QueueUntil time.Time
 	// Deadline is when the caller's interest ends.
 	Deadline time.Time
 	// Key makes a request idempotent, empty without one.
@@ -100,6 +102,24 @@
 	return r
 }
 
+// WithQueueUntil returns the request with another limit of waiting.
+func (r Request) WithQueueUntil(until time.Time) Request {
+	r.QueueUntil = until
+	return r
+}
+
+// WithClass returns the request taken for another class.
+func (r Request) WithClass(c Class) Request {
+	r.Class = c
+	return r
+}
+
+// WithPayload returns the request with another payload.
+func (r Request) WithPayload(payload []byte) Request {
+	r.Payload = payload
+	return r
+}
+
 // WithID returns the request under another identity.
 func (r Request) WithID(id RequestID) Request {
 	r.ID = id
@@ -108,5 +128,5 @@
 
 // Repeatable reports whether running the request twice does no harm.
 func (r Request) Repeatable() bool {
-	return r.Class == ClassRead
+	return r.Class == ClassRead || r.Key != ""
 }
