Find the other instances at once, and refuse what can no longer be served

Cause: the process tests showed (1) the fleet duty asked for a moment that always lay just ahead, so it spun and never ticked, and no instance met another; (2) a request queued for a primary that was replaced waited for a connection that could not open: a 5.0 s gap with a silent primary. Change: the first deadline is a moment long past; a listed instance is contacted at once; queued requests are refused when their endpoint loses the term or their wait ends.

--- a/behaviour.go
+++ b/behaviour.go
@@ -35,6 +35,9 @@
 	Next(now time.Time) (next Dispatch, rest Queue)
 	// WithoutRequest returns the queue without a request, false if absent.
 	WithoutRequest(id RequestID) (Queue, bool)
+	// WithoutExpired returns the queue without the requests that may not wait
+	// any longer, and those requests.
+	WithoutExpired(now time.Time) (Queue, []Request)
 	// WithServed returns the queue told how long a request occupied a slot.
 	WithServed(rank Rank, service time.Duration) Queue
 	// Depth returns how many requests wait in a rank.
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -120,6 +120,9 @@
 // may lag: it only tells whom to contact.
 func (t Table) WithListed(listed []rosemarylb.Member) Table {
 	t.seeds = listed
+	if len(t.view.Members) == 1 {
+		t.contactAt = time.Time{}
+	}
 	return t
 }
 
@@ -283,9 +286,13 @@
 	return t.forget(now), messages
 }
 
-// Next returns the deadline of the next tick.
+// Next returns the deadline of the next tick, a moment long past before the
+// first one.
 func (t Table) Next() time.Time {
 	next := t.heartbeatAt
+	if next.IsZero() {
+		return time.Unix(0, 1)
+	}
 	for _, w := range t.watched {
 		if w.deadline.Before(next) {
 			next = w.deadline
--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -217,6 +217,7 @@
 	k.leads = p.Endpoint == k.spec.ID
 	k.acks = k.acks.WithPrimary(p)
 	o.recheck(k, now)
+	o.refuseFresh(k, rosemarylb.ReasonWrongTerm, now)
 	if !k.leads {
 		return
 	}
@@ -240,11 +241,11 @@
 		o.refuse(r, rosemarylb.ReasonUnreachable, k)
 	}
 	k.waiting = nil
-	o.refuseFresh(k, now)
+	o.refuseFresh(k, rosemarylb.ReasonUnreachable, now)
 }
 
 // refuseFresh refuses the new requests that wait for an endpoint.
-func (o *Owner) refuseFresh(k *desk, now time.Time) {
+func (o *Owner) refuseFresh(k *desk, reason rosemarylb.Reason, now time.Time) {
 	for waits(k.fresh) {
 		next, rest := k.fresh.Next(now)
 		k.fresh = rest
@@ -252,7 +253,7 @@
 			o.refuse(r, rosemarylb.ReasonDeadline, k)
 		}
 		if next.Found {
-			o.refuse(next.Request, rosemarylb.ReasonUnreachable, k)
+			o.refuse(next.Request, reason, k)
 		}
 	}
 }
@@ -282,7 +283,7 @@
 	}
 	o.drop(k, e.connection.ID)
 	if held && entry.State == poolOpening && e.sqlState != stateTooManyConnections && k.pool.Size() == 0 {
-		o.refuseFresh(k, now)
+		o.refuseFresh(k, rosemarylb.ReasonUnreachable, now)
 	}
 	o.dispatch(k, now)
 }
@@ -326,6 +327,13 @@
 		waiting = append(waiting, r)
 	}
 	k.waiting = waiting
+	for _, q := range []*rosemarylb.Queue{&k.fresh, &k.within} {
+		rest, expired := (*q).WithoutExpired(now)
+		*q = rest
+		for _, r := range expired {
+			o.refuse(r, rosemarylb.ReasonDeadline, k)
+		}
+	}
 	var still []held
 	for _, h := range k.held {
 		if now.After(h.request.Deadline) {
--- a/internal/peer/instance/fleet.go
+++ b/internal/peer/instance/fleet.go
@@ -162,11 +162,7 @@
 
 // Next implements duty.Handler.
 func (f *Fleet) Next() time.Time {
-	next := f.table.Next()
-	if next.IsZero() {
-		return time.Now()
-	}
-	return next
+	return f.table.Next()
 }
 
 func (f *Fleet) heard(h member.Heartbeat, now time.Time) {
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -16,8 +16,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// dumpTimeout bounds a dump of all duties.
-const dumpTimeout = 2 * time.Second
+const (
+	// dumpTimeout bounds the report of one duty. Duties that wait for the
+	// platform answer only between two calls.
+	dumpTimeout = 200 * time.Millisecond
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 2 * time.Second
+)
 
 // Dump is the state of a process.
 type Dump struct {
@@ -29,8 +34,9 @@
 	Time time.Time `json:"time"`
 	// Duties are the reports of the duties.
 	Duties []duty.Report `json:"duties"`
-	// Stuck names the duties that gave no report in time.
-	Stuck []string `json:"stuck"`
+	// Waiting names the duties that gave no report in time: they wait for the
+	// platform or another instance.
+	Waiting []string `json:"waiting"`
 }
 
 // Status is what an operator follows during a rollout.
@@ -96,7 +102,7 @@
 	mux.HandleFunc("POST /drain", s.startDrain)
 	server := &http.Server{
 		Handler:           mux,
-		ReadHeaderTimeout: dumpTimeout,
+		ReadHeaderTimeout: headerTimeout,
 	}
 	wait := duty.Spawn(func() {
 		_ = server.Serve(listener)
@@ -108,18 +114,16 @@
 }
 
 func (s *Server) dump(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), dumpTimeout)
-	defer cancel()
 	d := Dump{
 		Instance: string(s.self),
 		Version:  s.version,
 		Time:     time.Now(),
-		Stuck:    []string{},
+		Waiting:  []string{},
 	}
 	for _, k := range s.duties {
-		report, err := k.Dump(ctx)
+		report, err := reportOf(r.Context(), k)
 		if err != nil {
-			d.Stuck = append(d.Stuck, k.Name())
+			d.Waiting = append(d.Waiting, k.Name())
 			continue
 		}
 		d.Duties = append(d.Duties, report)
@@ -127,6 +131,12 @@
 	writeJSON(w, d)
 }
 
+func reportOf(ctx context.Context, d *duty.Duty) (duty.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	return d.Dump(ctx)
+}
+
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	v := s.view.Load()
 	writeJSON(w, Status{
--- a/internal/process/fleettest/fleet_test.go
+++ b/internal/process/fleettest/fleet_test.go
@@ -136,8 +136,8 @@
 	}
 	f.cli(0, "config", "apply", "--base", f.base, "--platform", f.platformURL())
 	f.startInstances()
-	f.exec("CREATE TABLE rosemarylb_requests (key TEXT PRIMARY KEY)")
-	f.exec("CREATE TABLE jobs (id INTEGER PRIMARY KEY, note TEXT)")
+	f.exec("CREATE TABLE IF NOT EXISTS rosemarylb_requests (key TEXT PRIMARY KEY)")
+	f.exec("CREATE TABLE IF NOT EXISTS jobs (id INTEGER PRIMARY KEY, note TEXT)")
 	return f
 }
 
@@ -193,7 +193,7 @@
 }
 
 func (f *fleet) url(n int) string {
-	return fmt.Sprintf("postgres://fitter@%s/book?sslmode=disable&connect_timeout=5", f.instances[n].caller)
+	return fmt.Sprintf("postgres://fitter@%s/book?sslmode=disable&connect_timeout=5&default_query_exec_mode=exec", f.instances[n].caller)
 }
 
 // connect opens a session, and waits until the instance serves.
--- a/internal/traffic/queue/lane.go
+++ b/internal/traffic/queue/lane.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"time"
+
 	"rosemarylb"
 
 	"github.com/benbjohnson/immutable"
@@ -69,6 +71,26 @@
 	return l, false
 }
 
+// withoutExpired returns the lane without the requests whose wait has ended,
+// and those requests.
+func (l lane) withoutExpired(now time.Time) (lane, []rosemarylb.Request) {
+	var expired []rosemarylb.Request
+	i := l.waiting.Iterator()
+	for !i.Done() {
+		_, mine, _ := i.Next()
+		each := mine.Iterator()
+		for !each.Done() {
+			if _, r := each.Next(); now.After(r.QueueUntil) {
+				expired = append(expired, r)
+			}
+		}
+	}
+	for _, r := range expired {
+		l, _ = l.without(r.ID)
+	}
+	return l, expired
+}
+
 func remove(
 	list *immutable.List[rosemarylb.Request], id rosemarylb.RequestID,
 ) (*immutable.List[rosemarylb.Request], bool) {
--- a/internal/traffic/queue/shares.go
+++ b/internal/traffic/queue/shares.go
@@ -170,6 +170,17 @@
 	return s, false
 }
 
+// WithoutExpired implements rosemarylb.Queue.
+func (s Shares) WithoutExpired(now time.Time) (rosemarylb.Queue, []rosemarylb.Request) {
+	var expired []rosemarylb.Request
+	for i := range s.lanes {
+		var late []rosemarylb.Request
+		s.lanes[i], late = s.lanes[i].withoutExpired(now)
+		expired = append(expired, late...)
+	}
+	return s, expired
+}
+
 // WithServed implements rosemarylb.Queue: every rank that waits earns its
 // share of the time served, and the served rank pays for it.
 func (s Shares) WithServed(rank rosemarylb.Rank, service time.Duration) rosemarylb.Queue {
