--- /dev/null
+++ b/internal/failover/quorum/quorum_test.go
@@ -0,0 +1,108 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"rosemarylb"
+)
+
+func state(id string, term rosemarylb.Term, log rosemarylb.Position, askedAt time.Time) rosemarylb.EndpointState {
+	return rosemarylb.EndpointState{
+		ID:      rosemarylb.EndpointID(id),
+		Term:    term,
+		Log:     log,
+		AskedAt: askedAt,
+	}
+}
+
+func at(term rosemarylb.Term, lsn rosemarylb.LSN) rosemarylb.Position {
+	return rosemarylb.Position{
+		Term: term,
+		LSN:  lsn,
+	}
+}
+
+func TestConfirmed(t *testing.T) {
+	start := time.Unix(100, 0)
+	later := start.Add(time.Millisecond)
+	before := start.Add(-time.Millisecond)
+	tests := []struct {
+		name   string
+		states []rosemarylb.EndpointState
+		since  time.Time
+		want   bool
+	}{
+		{
+			name: "nobody else holds it",
+		},
+		{
+			name:   "one replica holds it in the term",
+			states: []rosemarylb.EndpointState{state("b", 3, at(3, 10), before)},
+			want:   true,
+		},
+		{
+			name:   "the replica is behind",
+			states: []rosemarylb.EndpointState{state("b", 3, at(3, 9), before)},
+		},
+		{
+			name:   "the replica has left the term",
+			states: []rosemarylb.EndpointState{state("b", 4, at(3, 10), before)},
+		},
+		{
+			name:   "the replica's entries are of an older term",
+			states: []rosemarylb.EndpointState{state("b", 3, at(2, 12), before)},
+		},
+		{
+			name:   "a current read needs states asked for after its start",
+			states: []rosemarylb.EndpointState{state("a", 3, at(3, 10), later), state("b", 3, at(3, 10), before)},
+			since:  start,
+		},
+		{
+			name:   "a current read needs the primary's own word",
+			states: []rosemarylb.EndpointState{state("b", 3, at(3, 10), later)},
+			since:  start,
+		},
+		{
+			name:   "a current read with a primary that was fenced",
+			states: []rosemarylb.EndpointState{state("a", 4, at(3, 10), later), state("b", 3, at(3, 10), later)},
+			since:  start,
+		},
+		{
+			name:   "a current read confirmed by a majority",
+			states: []rosemarylb.EndpointState{state("a", 3, at(3, 10), later), state("b", 3, at(3, 10), later)},
+			since:  start,
+			want:   true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := NewMajority(2).WithPrimary(rosemarylb.Primary{
+				Database: "book",
+				Term:     3,
+				Endpoint: "a",
+			})
+			for _, s := range tt.states {
+				m = m.WithState(s)
+			}
+			if got := m.Confirmed(at(3, 10), tt.since); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestOlderStateChangesNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := NewMajority(2).WithPrimary(rosemarylb.Primary{
+		Term:     3,
+		Endpoint: "a",
+	})
+	m = m.WithState(state("b", 4, at(3, 10), now)).WithState(state("b", 3, at(3, 10), now.Add(-time.Second)))
+	if got := m.Confirmed(at(3, 10), time.Time{}); got {
+		t.Error("got a confirmation by a state that a later one has overtaken, want none")
+	}
+	if got := m.Replaced(); !got {
+		t.Error("got no replacement, want one seen")
+	}
+}
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -179,7 +179,7 @@
 		if p, known := v.Primary(k.spec.Database); known {
 			o.appoint(k, p, now)
 		}
-		o.releaseLost(v, k, now)
+		o.releaseLost(v, k)
 		if !k.owned || k.spec.Leaving {
 			o.closeIdle(k)
 		}
@@ -192,7 +192,7 @@
 }
 
 // releaseLost ends the transactions of sessions whose instance is dead.
-func (o *Owner) releaseLost(v rosemarylb.View, k *desk, now time.Time) {
+func (o *Owner) releaseLost(v rosemarylb.View, k *desk) {
 	for _, e := range k.pool.Entries() {
 		if e.Holder.Instance == "" {
 			continue
