--- a/behaviour.go
+++ b/behaviour.go
@@ -81,9 +81,11 @@
 	CommandPromote
 	// CommandFollow makes the endpoint a replica of a term's primary.
 	CommandFollow
+	// CommandEvict breaks the connections that a dead instance left behind.
+	CommandEvict
 )
 
-var commandNames = [...]string{"status", "fence", "promote", "follow"}
+var commandNames = [...]string{"status", "fence", "promote", "follow", "evict"}
 
 // String returns the name of the command.
 func (k CommandKind) String() string {
@@ -105,6 +107,8 @@
 	Proposer InstanceID
 	// Upstream is the address of the primary to follow.
 	Upstream string
+	// Evicted is the instance whose connections are broken.
+	Evicted InstanceID
 }
 
 // Arbiter decides, for one database, when and whom to promote. It is an
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -42,6 +42,7 @@
 	placement rosemarylb.Placement
 	reply     func(rosemarylb.Outcome)
 	want      func(Wanted) bool
+	evict     func(Evicted) bool
 	ring      *duty.Ring[Event]
 
 	desks  map[rosemarylb.EndpointID]*desk
@@ -58,6 +59,14 @@
 	}
 }
 
+// WithEvict sets where wishes to break a dead instance's connections go. It
+// must not wait.
+func WithEvict(evict func(Evicted) bool) OwnerOption {
+	return func(o *Owner) {
+		o.evict = evict
+	}
+}
+
 // WithWant sets where wishes for quick probes go. It must not wait.
 func WithWant(want func(Wanted) bool) OwnerOption {
 	return func(o *Owner) {
@@ -75,6 +84,7 @@
 		placement: placement,
 		reply:     func(rosemarylb.Outcome) {},
 		want:      func(Wanted) bool { return true },
+		evict:     func(Evicted) bool { return true },
 		ring:      duty.NewRing[Event]("owner", ownerCapacity),
 		desks:     map[rosemarylb.EndpointID]*desk{},
 		tickAt:    time.Now(),
@@ -367,7 +377,7 @@
 	if !k.owned || !k.pool.MayOpen(now) || k.pool.Count(poolOpening) >= k.spec.Slots {
 		return
 	}
-	c := o.loops.Open(k.spec, "data "+string(o.view.Load().Self.ID), o)
+	c := o.loops.Open(k.spec, dataName(o.view.Load().Self.ID), o)
 	if c == nil {
 		return
 	}
--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -100,6 +100,14 @@
 	o.give(outcome)
 }
 
+// acknowledge gives out the answer to a request that may have committed. It
+// must be confirmed by a majority in the term that the endpoint leads.
+func (o *Owner) acknowledge(k *desk, h held) {
+	rosemarylb.Invariantf(k.leads && k.acks.Confirmed(h.outcome.Position, h.since),
+		"%s acknowledged at %s without a majority", h.request.ID, h.outcome.Position)
+	o.give(h.outcome)
+}
+
 func (o *Owner) give(outcome rosemarylb.Outcome) {
 	switch outcome.Kind {
 	case rosemarylb.OutcomeUnknown:
@@ -123,7 +131,7 @@
 		h.since = r.ArrivedAt
 	}
 	if k.confirms(h) {
-		o.give(outcome)
+		o.acknowledge(k, h)
 		return
 	}
 	k.held = append(k.held, h)
@@ -151,7 +159,7 @@
 		switch {
 		case k.confirms(h):
 			heldSeconds.Update(now.Sub(h.request.ArrivedAt).Seconds())
-			o.give(h.outcome)
+			o.acknowledge(k, h)
 		case lost:
 			o.give(abandon(h))
 		default:
@@ -281,6 +289,9 @@
 	if held && entry.State == poolOpening {
 		k.pool = k.pool.WithBackoff(now.Add(refusedPause))
 	}
+	if e.sqlState == stateTooManyConnections {
+		o.evictDead(k)
+	}
 	o.drop(k, e.connection.ID)
 	if held && entry.State == poolOpening && e.sqlState != stateTooManyConnections && k.pool.Size() == 0 {
 		o.refuseFresh(k, rosemarylb.ReasonUnreachable, now)
@@ -288,6 +299,19 @@
 	o.dispatch(k, now)
 }
 
+// evictDead has the connections broken that dead instances may have left at
+// an endpoint: a paused one would keep them, and their transactions, for good.
+func (o *Owner) evictDead(k *desk) {
+	for _, m := range o.view.Load().Members {
+		if m.Status == rosemarylb.MemberDead {
+			o.evict(Evicted{
+				Endpoint: k.spec.ID,
+				Instance: m.ID,
+			})
+		}
+	}
+}
+
 // drop closes a connection and settles the request that was on it.
 func (o *Owner) drop(k *desk, id uint64) {
 	if l, found := k.links[id]; found {
--- a/internal/peer/endpoint/watcher.go
+++ b/internal/peer/endpoint/watcher.go
@@ -27,12 +27,21 @@
 	Database rosemarylb.DatabaseName
 }
 
+// Evicted asks the watcher to break the connections of a dead instance.
+type Evicted struct {
+	// Endpoint is the endpoint that has them.
+	Endpoint rosemarylb.EndpointID
+	// Instance is the dead instance.
+	Instance rosemarylb.InstanceID
+}
+
 // WatchEvent is what the watcher duty decides on.
 type WatchEvent interface {
 	watchEvent()
 }
 
 func (Wanted) watchEvent()   {}
+func (Evicted) watchEvent()  {}
 func (opened) watchEvent()   {}
 func (answered) watchEvent() {}
 func (closed) watchEvent()   {}
@@ -159,6 +168,12 @@
 	switch e := item.(type) {
 	case Wanted:
 		w.want(e.Database, now)
+	case Evicted:
+		w.order(rosemarylb.Command{
+			Kind:     rosemarylb.CommandEvict,
+			Endpoint: e.Endpoint,
+			Evicted:  e.Instance,
+		}, now)
 	case opened:
 		w.opened(e.connection, now)
 	case answered:
@@ -307,7 +322,8 @@
 	if !found {
 		return
 	}
-	if c.Kind == rosemarylb.CommandStatus && a.pending != nil {
+	lesser := c.Kind == rosemarylb.CommandStatus || c.Kind == rosemarylb.CommandEvict
+	if lesser && a.pending != nil {
 		return
 	}
 	a.pending = &c
--- a/internal/peer/endpoint/wire.go
+++ b/internal/peer/endpoint/wire.go
@@ -133,11 +133,18 @@
 		return fmt.Sprintf("SELECT rosemarylb_promote(%d, '%s')", c.Term, c.Proposer)
 	case rosemarylb.CommandFollow:
 		return fmt.Sprintf("SELECT rosemarylb_follow(%d, '%s')", c.Term, c.Upstream)
+	case rosemarylb.CommandEvict:
+		return fmt.Sprintf("SELECT rosemarylb_evict(0, '%s')", dataName(c.Evicted))
 	default:
 		return "SELECT rosemarylb_status()"
 	}
 }
 
+// dataName is the application name of an instance's data connections.
+func dataName(id rosemarylb.InstanceID) string {
+	return "data " + string(id)
+}
+
 // The columns of an endpoint's answer to a command.
 const (
 	columnGranted = iota
--- a/internal/peer/instance/fleet.go
+++ b/internal/peer/instance/fleet.go
@@ -210,9 +210,8 @@
 	}
 	f.askAt = time.Time{}
 	f.update(f.table.WithService(s.WithRevision(revision), document))
-	if f.table.View().Service.Revision < known {
-		panic("fleet: the configuration went back")
-	}
+	now := f.table.View().Service.Revision
+	rosemarylb.Invariantf(now > known, "the configuration went from revision %d to %d", known, now)
 	f.log.Info("configuration in force", "revision", revision, "source", source)
 }
 
--- a/internal/process/service/instance.go
+++ b/internal/process/service/instance.go
@@ -142,6 +142,9 @@
 		endpoint.WithReply(hub.reply),
 		endpoint.WithWant(func(w endpoint.Wanted) bool {
 			return watcher.Ring().Offer(w)
+		}),
+		endpoint.WithEvict(func(e endpoint.Evicted) bool {
+			return watcher.Ring().Offer(e)
 		}))
 	i.edge = caller.NewEdge(i.settings.ID, i.view, route.NewNearest(nearest), hub)
 	hub.owner = owner
--- a/internal/standin/endpoint/control.go
+++ b/internal/standin/endpoint/control.go
@@ -11,7 +11,7 @@
 
 // controlCall matches the functions that the proxy needs of an endpoint.
 var controlCall = regexp.MustCompile(
-	`^\s*SELECT rosemarylb_(status|fence|promote|follow|log)\(\s*(\d*)\s*,?\s*'?([^')]*)'?\s*\)\s*;?\s*$`)
+	`^\s*SELECT rosemarylb_(status|fence|promote|follow|evict|log)\(\s*(\d*)\s*,?\s*'?([^')]*)'?\s*\)\s*;?\s*$`)
 
 // control answers a control function, false when the query is none.
 func (s *Server) control(query string) (result, bool) {
@@ -29,6 +29,11 @@
 		return statusResult(s.promote(term, parts[3])), true
 	case "follow":
 		return statusResult(s.follow(term, parts[3])), true
+	case "evict":
+		s.evict(parts[3])
+		s.history.mu.Lock()
+		defer s.history.mu.Unlock()
+		return statusResult(s.history.status(true)), true
 	case "log":
 		last, _ := strconv.ParseUint(parts[3], 10, 64)
 		return textResult("log", s.logFrom(rosemarylb.LSN(number), rosemarylb.Term(last))), true
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -175,6 +175,17 @@
 	}
 }
 
+// evict breaks the connections of one client.
+func (s *Server) evict(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		if c.peer == name {
+			c.kill()
+		}
+	}
+}
+
 // cancel interrupts the statement of a connection.
 func (s *Server) cancel(process uint32) {
 	s.mu.Lock()
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -142,9 +142,7 @@
 
 // WithOpening returns the pool with one more connection that is opening.
 func (p Pool) WithOpening(id uint64, until time.Time) Pool {
-	if len(p.entries) >= p.limit {
-		panic("pool: a connection over the limit")
-	}
+	rosemarylb.Invariantf(len(p.entries) < p.limit, "a connection over the limit of %d", p.limit)
 	return p.withEntries(append(p.copyEntries(), Entry{
 		ID:    id,
 		State: StateOpening,
@@ -171,12 +169,8 @@
 // WithBusy returns the pool with a connection at work on a request.
 func (p Pool) WithBusy(id uint64, r rosemarylb.Request) Pool {
 	return p.withChanged(id, func(e Entry) Entry {
-		if e.State != StateIdle && e.State != StateLeased {
-			panic("pool: a request on a connection that is " + e.State.String())
-		}
-		if e.State == StateLeased && !sameSession(e.Holder, r.ID) {
-			panic("pool: a request on another session's connection")
-		}
+		free := e.State == StateIdle || e.State == StateLeased && sameSession(e.Holder, r.ID)
+		rosemarylb.Invariantf(free, "%s on connection %d, %s by %s", r.ID, id, e.State, e.Holder)
 		return Entry{
 			ID:     e.ID,
 			State:  StateBusy,
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -126,9 +126,7 @@
 func (s Session) WithAsk(
 	a Ask, id rosemarylb.RequestID, limits rosemarylb.Service, now time.Time,
 ) (Session, rosemarylb.Request) {
-	if s.active {
-		panic("session: a second request in flight")
-	}
+	rosemarylb.Invariantf(!s.active, "session %d has a second request in flight", s.id)
 	r := rosemarylb.Request{
 		ID:         id,
 		Database:   s.database,
