Keep one caller from crowding out its peers in a flooded rank

Change: a full lane drops the newest request of the caller that has most waiting; the expected delay counts turns of callers.

--- a/behaviour.go
+++ b/behaviour.go
@@ -27,9 +27,9 @@
 
 // Queue is an immutable queue of requests that wait for one endpoint.
 type Queue interface {
-	// WithRequest returns the queue with one more request, or the reason why
-	// it refuses.
-	WithRequest(r Request, now time.Time) (Queue, Reason)
+	// WithRequest returns the queue with one more request, and the request
+	// that is refused for it: the new one, another one, or none.
+	WithRequest(r Request, now time.Time) (Queue, Refusal)
 	// Next returns the request to serve next and the queue without it, and
 	// the requests that can no longer meet their deadlines.
 	Next(now time.Time) (next Dispatch, rest Queue)
@@ -44,6 +44,14 @@
 	Depth(rank Rank) int
 }
 
+// Refusal is a request that a queue does not keep.
+type Refusal struct {
+	// Request is the refused request.
+	Request Request
+	// Reason says why; ReasonNone when nothing is refused.
+	Reason Reason
+}
+
 // Dispatch is what a queue gives out.
 type Dispatch struct {
 	// Found is true when Request is to be served.
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -298,10 +298,9 @@
 	if within {
 		q = k.within
 	}
-	q, reason := q.WithRequest(r, now)
-	if reason != rosemarylb.ReasonNone {
-		o.refuse(r, reason, k)
-		return
+	q, refusal := q.WithRequest(r, now)
+	if refusal.Reason != rosemarylb.ReasonNone {
+		o.refuse(refusal.Request, refusal.Reason, k)
 	}
 	if within {
 		k.within = q
--- a/internal/traffic/queue/lane.go
+++ b/internal/traffic/queue/lane.go
@@ -34,6 +34,41 @@
 	return l
 }
 
+// ahead returns how many requests of the lane go before a caller's next one,
+// since callers take turns.
+func (l lane) ahead(caller string) int {
+	own := 0
+	if mine, found := l.waiting.Get(caller); found {
+		own = mine.Len()
+	}
+	return min(l.depth, own+(own+1)*l.turns.Len())
+}
+
+// withRoomFor returns the full lane without the newest request of the caller
+// that has most of them waiting, and that request. It is the new request
+// itself when its own caller has as many.
+func (l lane) withRoomFor(r rosemarylb.Request) (lane, rosemarylb.Request) {
+	own := 0
+	if mine, found := l.waiting.Get(r.Caller); found {
+		own = mine.Len()
+	}
+	var longest *immutable.List[rosemarylb.Request]
+	i := l.waiting.Iterator()
+	for !i.Done() {
+		_, theirs, _ := i.Next()
+		if theirs.Len() > own+1 && (longest == nil || theirs.Len() > longest.Len()) {
+			longest = theirs
+		}
+	}
+	if longest == nil {
+		return l, r
+	}
+	newest := longest.Get(longest.Len() - 1)
+	l.waiting = l.waiting.Set(newest.Caller, longest.Slice(0, longest.Len()-1))
+	l.depth--
+	return l, newest
+}
+
 // pop returns the next request and the lane without it.
 func (l lane) pop() (rosemarylb.Request, lane) {
 	l.depth--
--- a/internal/traffic/queue/shares.go
+++ b/internal/traffic/queue/shares.go
@@ -79,25 +79,38 @@
 }
 
 // WithRequest implements rosemarylb.Queue.
-func (s Shares) WithRequest(r rosemarylb.Request, now time.Time) (rosemarylb.Queue, rosemarylb.Reason) {
-	if s.lanes[r.Rank].depth >= s.limit {
-		return s, rosemarylb.ReasonOverload
+func (s Shares) WithRequest(r rosemarylb.Request, now time.Time) (rosemarylb.Queue, rosemarylb.Refusal) {
+	if s.shed && r.Target.Lease == 0 && now.Add(s.delay(r)).After(r.QueueUntil) {
+		return s, rosemarylb.Refusal{
+			Request: r,
+			Reason:  rosemarylb.ReasonDeadline,
+		}
 	}
-	if s.shed && r.Target.Lease == 0 && now.Add(s.delay(r.Rank)).After(r.QueueUntil) {
-		return s, rosemarylb.ReasonDeadline
+	var refusal rosemarylb.Refusal
+	if s.lanes[r.Rank].depth >= s.limit {
+		rest, dropped := s.lanes[r.Rank].withRoomFor(r)
+		refusal = rosemarylb.Refusal{
+			Request: dropped,
+			Reason:  rosemarylb.ReasonOverload,
+		}
+		if dropped.ID == r.ID {
+			return s, refusal
+		}
+		s.lanes[r.Rank] = rest
 	}
 	if s.lanes[r.Rank].depth == 0 {
 		s.credit[r.Rank] = min(s.credit[r.Rank], 0)
 	}
 	s.lanes[r.Rank] = s.lanes[r.Rank].withRequest(r)
-	return s, rosemarylb.ReasonNone
+	return s, refusal
 }
 
 // delay returns the expected time from now to the end of a new request's
 // service, the work ahead of it spread over the slots. A rank with a least
 // share never waits longer than its own work served at that share.
-func (s Shares) delay(rank rosemarylb.Rank) time.Duration {
-	own := time.Duration(s.lanes[rank].depth) * s.service[rank]
+func (s Shares) delay(r rosemarylb.Request) time.Duration {
+	rank := r.Rank
+	own := time.Duration(s.lanes[rank].ahead(r.Caller)) * s.service[rank]
 	ahead := own
 	for higher := range rank {
 		ahead += time.Duration(s.lanes[higher].depth) * s.service[higher]
