Measure membership in fleets of several sizes

Cause: the slope of membership's cost was not known. Change: an experiment over the real tables with a fake clock, three regions, losses and a cut; tests hold the goals.

--- /dev/null
+++ b/internal/experiment/membership/membership_test.go
@@ -0,0 +1,50 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+func TestMembershipCostsTheSameAtAnySize(t *testing.T) {
+	small := Run(Options{
+		Members: 9,
+		Seed:    1,
+	})
+	large := Run(Options{
+		Members: 200,
+		Seed:    1,
+	})
+	if got, want := large.Bytes, small.Bytes*2; got > want {
+		t.Errorf("got %.0f bytes a second at 200 instances, want at most %.0f", got, want)
+	}
+	for _, r := range []Result{small, large} {
+		if want := 2 * time.Second; r.Detected > want {
+			t.Errorf("got a detection after %v, want at most %v", r.Detected, want)
+		}
+		if r.FalseDeaths != 0 {
+			t.Errorf("got %d live instances taken for dead, want none", r.FalseDeaths)
+		}
+	}
+}
+
+func TestRegionsThatLoseEachOtherAgreeAgain(t *testing.T) {
+	r := Run(Options{
+		Members: 30,
+		Cut:     20,
+		Seed:    2,
+	})
+	if want := 18 * time.Second; r.Healed > want {
+		t.Errorf("got agreement after %v, want at most %v", r.Healed, want)
+	}
+}
+
+func TestLostMessagesDoNotBreakTheFleet(t *testing.T) {
+	r := Run(Options{
+		Members: 50,
+		Loss:    0.02,
+		Seed:    3,
+	})
+	if want := 3 * time.Second; r.Detected > want {
+		t.Errorf("got a detection after %v, want at most %v", r.Detected, want)
+	}
+}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// WithKnown sets the instances that are known from the start, ordered by name.
+func WithKnown(members []rosemarylb.Member, now time.Time) Option {
+	return func(t *Table) {
+		t.view = t.view.WithMembers(members)
+		*t = t.rewatch(now)
+	}
+}
+
 // NewTable returns the state of an instance that knows only itself.
 func NewTable(self rosemarylb.Member, options ...Option) Table {
 	t := Table{
--- a/internal/peer/instance/codec.go
+++ b/internal/peer/instance/codec.go
@@ -8,6 +8,8 @@
 	"rosemarylb"
 	"rosemarylb/internal/fleet/member"
 	"rosemarylb/internal/message/link"
+
+	"google.golang.org/protobuf/proto"
 )
 
 func encodeID(id rosemarylb.RequestID) *link.RequestID {
@@ -230,6 +232,17 @@
 	return m
 }
 
+// HeartbeatSize returns the size of a heartbeat between instances, in bytes,
+// without what the transport adds.
+func HeartbeatSize(h member.Heartbeat) int {
+	return proto.Size(&link.Envelope{
+		From: string(h.Sender.ID),
+		Body: &link.Envelope_Heartbeat{
+			Heartbeat: encodeHeartbeat(h),
+		},
+	})
+}
+
 func decodeHeartbeat(m *link.Heartbeat) member.Heartbeat {
 	h := member.Heartbeat{
 		Sender:   decodeMember(m.GetSender()),
