Let the watcher sleep until its probe is answered

Cause: while a probe was under way its next time had passed already, so the watcher's timer fired without pause: 6,206 to 38,606 wake-ups in 2 s at rest. Lanes held whole requests in immutable lists: 10 KB were copied per append.

--- a/internal/experiment/membership/membership.go
+++ b/internal/experiment/membership/membership.go
@@ -88,7 +88,6 @@
 	messages int
 	bytes    int
 	decided  time.Duration
-	false    int
 }
 
 // step is the unit of simulated time.
--- a/internal/peer/endpoint/watcher.go
+++ b/internal/peer/endpoint/watcher.go
@@ -303,10 +303,11 @@
 	}
 	for _, a := range w.watches {
 		w.probe(a, now)
-		w.wakeAt(a.askAt)
 		if a.asked != nil {
 			w.wakeAt(a.askedAt.Add(answerTimeout))
+			continue
 		}
+		w.wakeAt(a.askAt)
 	}
 }
 
--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,7 @@
 	inspect chan chan any
 	stopped chan struct{}
 	rings   func() []RingStatus
+	wakes   atomic.Uint64
 }
 
 // Start runs a handler on a thread of its own, fed by the given rings in
@@ -55,6 +57,7 @@
 		inspect: d.inspect,
 		stop:    make(chan struct{}),
 		timer:   time.NewTimer(time.Hour),
+		wakes:   &d.wakes,
 	}
 	go l.run(d.stopped)
 	return d, func() {
@@ -96,6 +99,7 @@
 		return Report{
 			Duty:  d.name,
 			Rings: d.rings(),
+			Wakes: d.wakes.Load(),
 			State: state,
 		}, nil
 	case <-d.stopped:
@@ -111,6 +115,8 @@
 	Duty string `json:"duty"`
 	// Rings are the rings that feed it.
 	Rings []RingStatus `json:"rings"`
+	// Wakes counts how often its timer woke it since the start.
+	Wakes uint64 `json:"wakes"`
 	// State is the duty's own description.
 	State any `json:"state"`
 }
@@ -133,6 +139,7 @@
 	stop    chan struct{}
 	timer   *time.Timer
 	armed   time.Time
+	wakes   *atomic.Uint64
 }
 
 func (l *loop[T]) run(stopped chan struct{}) {
@@ -152,6 +159,7 @@
 		case item := <-l.second:
 			l.handler.Handle(time.Now(), item)
 		case now := <-l.timer.C:
+			l.wakes.Add(1)
 			l.tick(now)
 		case answer := <-l.inspect:
 			answer <- l.handler.Dump()
--- a/internal/process/fleettest/fleet_test.go
+++ b/internal/process/fleettest/fleet_test.go
@@ -55,11 +55,12 @@
 
 	caller   string
 	operator string
+	peer     string
 }
 
 // fleet is a platform, endpoints and instances, each a process.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	platform  *process
 	endpoints []*process
 	controls  []string
@@ -67,7 +68,7 @@
 	base      string
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -77,7 +78,7 @@
 	return l.Addr().String()
 }
 
-func start(t *testing.T, announces bool, name string, args ...string) *process {
+func start(t testing.TB, announces bool, name string, args ...string) *process {
 	t.Helper()
 	p := &process{
 		command: exec.Command(filepath.Join(binaries, name), args...),
@@ -112,7 +113,7 @@
 
 // newFleet starts a fleet of one database with an endpoint and an instance in
 // each of three domains, and waits until it serves.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{
 		t:        t,
@@ -146,19 +147,30 @@
 }
 
 func (f *fleet) startInstances() {
-	var items []string
 	for n := range domains {
-		peer := freeAddress(f.t)
-		i := &instance{
-			caller:   freeAddress(f.t),
-			operator: freeAddress(f.t),
-		}
-		i.process = *start(f.t, false, "rosemarylb", "serve",
-			"--instance", fmt.Sprintf("i%d", n), "--domain", fmt.Sprintf("d%d", n), "--region", "hills",
-			"--caller-address", i.caller, "--instance-address", peer, "--operator-address", i.operator,
-			"--platform", f.platformURL())
-		f.instances = append(f.instances, i)
-		items = append(items, fmt.Sprintf(`{"name":"i%d","address":%q,"domain":"d%d","region":"hills"}`, n, peer, n))
+		f.startInstance(n)
+	}
+	f.list()
+}
+
+func (f *fleet) startInstance(n int) {
+	i := &instance{
+		caller:   freeAddress(f.t),
+		operator: freeAddress(f.t),
+		peer:     freeAddress(f.t),
+	}
+	i.process = *start(f.t, false, "rosemarylb", "serve",
+		"--instance", fmt.Sprintf("i%d", n), "--domain", fmt.Sprintf("d%d", n), "--region", "hills",
+		"--caller-address", i.caller, "--instance-address", i.peer, "--operator-address", i.operator,
+		"--platform", f.platformURL())
+	f.instances = append(f.instances, i)
+}
+
+// list tells the platform which instances there are.
+func (f *fleet) list() {
+	var items []string
+	for n, i := range f.instances {
+		items = append(items, fmt.Sprintf(`{"name":"i%d","address":%q,"domain":"d%d","region":"hills"}`, n, i.peer, n))
 	}
 	f.put("http://"+f.platform.address+"/instances", `{"items":[`+strings.Join(items, ",")+`]}`)
 }
--- a/internal/process/service/instance.go
+++ b/internal/process/service/instance.go
@@ -103,20 +103,14 @@
 }
 
 func (i *Instance) start(store rosemarylb.Store) error {
-	instances, err := net.Listen("tcp", i.settings.InstanceAddress)
+	instances, err := i.bind(i.settings.InstanceAddress)
 	if err != nil {
-		return errors.Wrap(err, "listen for instances")
+		return err
 	}
-	i.onCleanup(func() {
-		_ = instances.Close()
-	})
-	i.operator, err = net.Listen("tcp", i.settings.OperatorAddress)
+	i.operator, err = i.bind(i.settings.OperatorAddress)
 	if err != nil {
-		return errors.Wrap(err, "listen for operators")
+		return err
 	}
-	i.onCleanup(func() {
-		_ = i.operator.Close()
-	})
 	loops, stopLoops, err := endpoint.NewLoops(i.settings.Loops)
 	if err != nil {
 		return err
@@ -168,6 +162,17 @@
 	return nil
 }
 
+func (i *Instance) bind(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	i.onCleanup(func() {
+		_ = l.Close()
+	})
+	return l, nil
+}
+
 func (i *Instance) self(address string) rosemarylb.Member {
 	return rosemarylb.Member{
 		ID:          i.settings.ID,
--- a/internal/process/service/service_test.go
+++ b/internal/process/service/service_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync"
@@ -13,6 +15,7 @@
 
 	"rosemarylb"
 	"rosemarylb/internal/fleet/site"
+	"rosemarylb/internal/peer/operator"
 	"rosemarylb/internal/standin/endpoint"
 	"rosemarylb/internal/standin/fleet"
 	standin "rosemarylb/internal/standin/platform"
@@ -55,7 +58,7 @@
   drain: 3s
 `
 
-func newFleet(t *testing.T, options ...fleet.Option) *fleet.Fleet {
+func newFleet(t testing.TB, options ...fleet.Option) *fleet.Fleet {
 	t.Helper()
 	d, err := site.NewDocument(site.File{
 		Name: "test",
@@ -128,7 +131,7 @@
 	faults  []string
 }
 
-func (o *told) fault(format string, args ...any) {
+func (o *told) faultf(format string, args ...any) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.faults = append(o.faults, fmt.Sprintf(format, args...))
@@ -232,7 +235,7 @@
 	s.told.reads++
 	s.told.mu.Unlock()
 	if s.seen > 0 && got == 0 {
-		s.told.fault("session %d does not see its write %d", s.number, s.seen)
+		s.told.faultf("session %d does not see its write %d", s.number, s.seen)
 	}
 }
 
@@ -364,3 +367,38 @@
 		t.Error("got no acknowledged operation, want some")
 	}
 }
+
+func TestNoDutySpinsAtRest(t *testing.T) {
+	f := newFleet(t)
+	before := wakes(t, f)
+	const span = 2 * time.Second
+	time.Sleep(span)
+	// The quickest timers of the duties at rest run 50 times a second.
+	const limit = 100 * 2
+	for name, count := range wakes(t, f) {
+		if got := count - before[name]; got > limit {
+			t.Errorf("%s: got %d wake-ups in %v, want at most %d", name, got, span, limit)
+		}
+	}
+}
+
+// wakes returns how often each duty of each instance was woken by its timer.
+func wakes(t *testing.T, f *fleet.Fleet) map[string]uint64 {
+	t.Helper()
+	counts := map[string]uint64{}
+	for _, i := range f.Instances {
+		answer, err := http.Get("http://" + i.OperatorAddress() + "/dump")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var d operator.Dump
+		if err := json.NewDecoder(answer.Body).Decode(&d); err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		for n, report := range d.Duties {
+			counts[fmt.Sprintf("%s %s %d", d.Instance, report.Duty, n)] = report.Wakes
+		}
+	}
+	return counts
+}
--- a/internal/traffic/queue/lane.go
+++ b/internal/traffic/queue/lane.go
@@ -13,13 +13,13 @@
 type lane struct {
 	depth   int
 	turns   *immutable.List[string]
-	waiting *immutable.Map[string, *immutable.List[rosemarylb.Request]]
+	waiting *immutable.Map[string, *immutable.List[*rosemarylb.Request]]
 }
 
 func newLane() lane {
 	return lane{
 		turns:   immutable.NewList[string](),
-		waiting: immutable.NewMap[string, *immutable.List[rosemarylb.Request]](nil),
+		waiting: immutable.NewMap[string, *immutable.List[*rosemarylb.Request]](nil),
 	}
 }
 
@@ -27,10 +27,10 @@
 	l.depth++
 	mine, found := l.waiting.Get(r.Caller)
 	if !found {
-		mine = immutable.NewList[rosemarylb.Request]()
+		mine = immutable.NewList[*rosemarylb.Request]()
 		l.turns = l.turns.Append(r.Caller)
 	}
-	l.waiting = l.waiting.Set(r.Caller, mine.Append(r))
+	l.waiting = l.waiting.Set(r.Caller, mine.Append(&r))
 	return l
 }
 
@@ -52,7 +52,7 @@
 	if mine, found := l.waiting.Get(r.Caller); found {
 		own = mine.Len()
 	}
-	var longest *immutable.List[rosemarylb.Request]
+	var longest *immutable.List[*rosemarylb.Request]
 	i := l.waiting.Iterator()
 	for !i.Done() {
 		_, theirs, _ := i.Next()
@@ -63,7 +63,7 @@
 	if longest == nil {
 		return l, r
 	}
-	newest := longest.Get(longest.Len() - 1)
+	newest := *longest.Get(longest.Len() - 1)
 	l.waiting = l.waiting.Set(newest.Caller, longest.Slice(0, longest.Len()-1))
 	l.depth--
 	return l, newest
@@ -75,7 +75,7 @@
 	caller := l.turns.Get(0)
 	l.turns = l.turns.Slice(1, l.turns.Len())
 	mine, _ := l.waiting.Get(caller)
-	r := mine.Get(0)
+	r := *mine.Get(0)
 	if mine.Len() == 1 {
 		l.waiting = l.waiting.Delete(caller)
 		return r, l
@@ -116,7 +116,7 @@
 		each := mine.Iterator()
 		for !each.Done() {
 			if _, r := each.Next(); now.After(r.QueueUntil) {
-				expired = append(expired, r)
+				expired = append(expired, *r)
 			}
 		}
 	}
@@ -127,9 +127,9 @@
 }
 
 func remove(
-	list *immutable.List[rosemarylb.Request], id rosemarylb.RequestID,
-) (*immutable.List[rosemarylb.Request], bool) {
-	rest := immutable.NewList[rosemarylb.Request]()
+	list *immutable.List[*rosemarylb.Request], id rosemarylb.RequestID,
+) (*immutable.List[*rosemarylb.Request], bool) {
+	rest := immutable.NewList[*rosemarylb.Request]()
 	found := false
 	i := list.Iterator()
 	for !i.Done() {
