--- a/internal/failover/quorum/quorum.go
+++ b/internal/failover/quorum/quorum.go
@@ -50,21 +50,16 @@
 // Confirmed implements rosemarylb.Acknowledger. A replica counts when its
 // last entry is of the primary's term, so that its log is the primary's up to
 // there, and it had promised no later term when it was asked. The primary
-// holds what it wrote; but that nobody replaced it by a certain time has to
-// be asked of it like of the others.
+// counts by the answer itself: a position of its own term as its last shows
+// that it held no entry of a later term, so none was acknowledged with its
+// help before.
 func (m Majority) Confirmed(p rosemarylb.Position, since time.Time) bool {
 	if p.Term != m.primary.Term {
 		return false
 	}
-	held := 0
-	if since.IsZero() {
-		held = 1
-	}
+	held := 1
 	for _, s := range m.states {
-		if s.ID == m.primary.Endpoint && since.IsZero() {
-			continue
-		}
-		if m.counts(s, p, since) {
+		if s.ID != m.primary.Endpoint && m.counts(s, p, since) {
 			held++
 		}
 	}
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"rosemarylb"
@@ -100,6 +101,7 @@
 	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("POST /drain", s.startDrain)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
