Settle requests to a replaced primary at once

Cause: a silent primary's requests stayed on their connections until its probes failed, and the stand-in's replicas kept waiting for the silent upstream for up to 2 s. Change: an owner that learns of a later term breaks the connections of the earlier one: writes get an unknown outcome, reads go on elsewhere. The stand-in gives up a silent upstream after 200 ms, and stops also while frozen (a test run had hung for its 10 minutes).

--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -226,6 +226,7 @@
 	k.acks = k.acks.WithPrimary(p)
 	o.recheck(k, now)
 	o.refuseFresh(k, rosemarylb.ReasonWrongTerm, now)
+	o.dropOutdated(k)
 	if !k.leads {
 		return
 	}
@@ -235,6 +236,21 @@
 	k.waiting = nil
 }
 
+// dropOutdated breaks the connections whose requests were meant for the
+// primary of an earlier term: nothing of them can be confirmed any more.
+func (o *Owner) dropOutdated(k *desk) {
+	for id, r := range k.running {
+		if r.request.Target.Term != 0 && r.request.Target.Term < k.primary.Term {
+			o.drop(k, id)
+		}
+	}
+	for _, e := range k.pool.Entries() {
+		if e.State == poolLeased {
+			o.drop(k, e.ID)
+		}
+	}
+}
+
 // silenced breaks the connections to an endpoint that does not answer.
 func (o *Owner) silenced(id rosemarylb.EndpointID, now time.Time) {
 	k, found := o.desks[id]
--- a/internal/standin/endpoint/replica.go
+++ b/internal/standin/endpoint/replica.go
@@ -22,8 +22,9 @@
 	idlePause = 5 * time.Millisecond
 	// pullWait is how long the upstream waits for a new entry.
 	pullWait = 50 * time.Millisecond
-	// pullTimeout bounds one pull.
-	pullTimeout = 2 * time.Second
+	// pullTimeout bounds one exchange with the upstream, so that a silent one
+	// is given up soon after another is named.
+	pullTimeout = 200 * time.Millisecond
 	// pullLimit is how many entries one pull returns.
 	pullLimit = 256
 )
@@ -99,14 +100,14 @@
 
 // pull fetches and stores the next entries.
 func (s *Server) pull(ctx context.Context, link *pgconn.PgConn) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
 	s.history.mu.Lock()
 	from := s.history.position(s.history.last())
 	s.history.mu.Unlock()
 	askedAt := time.Now()
 	query := fmt.Sprintf("SELECT rosemarylb_log(%d, %d)", from.LSN, from.Term)
-	answers, err := link.Exec(ctx, query).ReadAll()
+	exchange, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	answers, err := link.Exec(exchange, query).ReadAll()
 	if err != nil {
 		return errors.Wrap(err, "pull")
 	}
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -112,6 +112,7 @@
 
 func (s *Server) close() {
 	s.closed.Store(true)
+	s.faults.set(Faults{})
 	s.stop()
 	_ = s.listener.Close()
 	s.closeConnections(true)
