Let open transactions run without a slot, and read when a watch fails

(2) With the platform's watches broken, a new revision was in force nowhere within 3 s, though reads were answered. Change: requests of open transactions are dispatched beyond the slots, bounded by the connections they hold; a failed watch is followed by a plain read.

--- /dev/null
+++ b/internal/fleet/site/site_test.go
@@ -0,0 +1,132 @@
+package site
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func file(name, text string) File {
+	return File{
+		Name: name,
+		Text: []byte(text),
+	}
+}
+
+const small = `service: test
+regions:
+  hills:
+    domains:
+      d0:
+databases:
+  book:
+    endpoints:
+      book-0:
+        address: "127.0.0.1:1"
+        domain: d0
+`
+
+func TestFaultsAreToldWithTheirPlaces(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want string
+	}{
+		{"unknown key", small + "limit:\n  queue: 1\n", "overlay.yaml:12:1: there is no setting limit"},
+		{"wrong unit", small + "limits:\n  request: 10\n", "overlay.yaml:13:12: limits.request: wrong value: \"10\" is not a time"},
+		{"impossible sum", small + "ranks:\n  urgent:\n    share: 80\n  background:\n    share: 50\n", "the least shares add up to 150 percent"},
+		{"unknown domain", strings.Replace(small, "domain: d0", "domain: d9", 1), "overlay.yaml:11:17: databases.book.endpoints.book-0.domain: the domain \"d9\" is in no region"},
+		{"unknown rank", small + "callers:\n  fitter:\n    rank: first\n", "is not urgent, standard or background"},
+		{"contradiction", small + "callers:\n  agent:\n    latest: true\n    staleness: 5s\n", "a caller of latest reads accepts no staleness"},
+		{"not kebab", small + "callers:\n  Fitter_1:\n    rank: urgent\n", "is not in kebab case"},
+		{"no mapping", "databases: 7\n", "a mapping is wanted here"},
+		{"no YAML", "a: [\n", "overlay.yaml:"},
+		{"twice", small + "service: again\n", "service"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, err := NewDocument(file("overlay.yaml", tt.text))
+			if err == nil {
+				_, err = d.Service()
+			}
+			if err == nil {
+				t.Fatal("got no error, want one")
+			}
+			if got := err.Error(); !strings.Contains(got, tt.want) {
+				t.Errorf("got %q, want %q in it", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestAllFaultsAreToldAtOnce(t *testing.T) {
+	_, err := NewDocument(file("a", "nothing: 1\nnowhere: 2\n"))
+	faults, is := err.(Faults) //nolint:errorlint // the error itself is wanted
+	if !is || len(faults) != 2 {
+		t.Errorf("got %v, want two faults", err)
+	}
+}
+
+func TestOverlayReplacesAndAdds(t *testing.T) {
+	d, err := NewDocument(file("base", small), file("overlay",
+		"databases:\n  book:\n    endpoints:\n      book-0:\n        slots: 5\ncallers:\n  clerk:\n    rank: background\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := d.Service()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, _ := s.Endpoint("book-0")
+	if got, want := e.Slots, 5; got != want {
+		t.Errorf("got %d slots, want %d", got, want)
+	}
+	if got, want := s.Caller("clerk").Rank.String(), "background"; got != want {
+		t.Errorf("got rank %s, want %s", got, want)
+	}
+	if got, want := string(d.Render(true)), "slots: 5  # overlay:5:16"; !strings.Contains(got, want) {
+		t.Errorf("got %s, want %q in it", got, want)
+	}
+}
+
+func TestExamplesReadBackAsRendered(t *testing.T) {
+	for _, name := range []string{"society", "registry"} {
+		text, err := os.ReadFile(filepath.Join("../../../examples", name, "base.yaml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, err := NewDocument(file(name, string(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := NewDocument(file(name, string(d.Render(false))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := Diff(d, again); len(got) != 0 {
+			t.Errorf("%s: got %v, want no difference", name, got)
+		}
+		if _, err := Parse(d.Render(false)); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzDocument(f *testing.F) {
+	f.Add(small)
+	f.Add("a: [1, {b: c}]\n- x\n")
+	f.Add("databases:\n  ? x\n  : y\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		d, err := NewDocument(file("fuzz", text))
+		if err != nil {
+			return
+		}
+		if _, err := d.Service(); err != nil {
+			return
+		}
+		if _, err := Parse(d.Render(false)); err != nil {
+			t.Errorf("a valid document does not read back: %v", err)
+		}
+	})
+}
--- a/internal/peer/endpoint/desk.go
+++ b/internal/peer/endpoint/desk.go
@@ -38,7 +38,6 @@
 	pool    pool.Pool
 	fresh   rosemarylb.Queue
 	within  rosemarylb.Queue
-	turn    bool
 	links   map[uint64]*link
 	running map[uint64]*running
 	held    []held
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -309,20 +309,13 @@
 	}
 }
 
-// dispatch gives free slots to waiting requests. Open transactions and new
-// requests take turns where both wait.
+// dispatch runs what open transactions ask for, and gives free slots to new
+// requests. A transaction does not wait for a slot: those that hold the slots
+// may be waiting for its locks.
 func (o *Owner) dispatch(k *desk, now time.Time) {
-	for len(k.running) < k.spec.Slots {
-		k.turn = !k.turn
-		if k.turn && o.dispatchWithin(k, now) {
-			continue
-		}
-		if o.dispatchFresh(k, now) {
-			continue
-		}
-		if !o.dispatchWithin(k, now) {
-			return
-		}
+	for o.dispatchWithin(k, now) {
+	}
+	for len(k.running) < k.spec.Slots && o.dispatchFresh(k, now) {
 	}
 }
 
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -112,13 +112,18 @@
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, watchSpan+callTimeout)
 	defer cancel()
+	c.nextAt = time.Now()
 	o, err := w.store.Watch(ctx, ConfigurationName, c.version)
+	if err != nil {
+		// A watch may fail while plain reads are answered.
+		o, err = w.store.Get(w.ctx, ConfigurationName)
+		c.nextAt = time.Now().Add(failurePause)
+	}
 	if err != nil {
 		c.fail(err)
 		return
 	}
 	c.failed = false
-	c.nextAt = time.Now()
 	if o.Version == 0 {
 		c.nextAt = time.Now().Add(idlePause)
 	}
