--- a/internal/fleet/site/service.go
+++ b/internal/fleet/site/service.go
@@ -27,6 +27,7 @@
 	values    map[string]Setting
 	regions   map[string]string
 	endpoints map[string]string
+	children  map[string][]Setting
 	service   rosemarylb.Service
 	faults    Faults
 }
@@ -38,19 +39,21 @@
 		values:    map[string]Setting{},
 		regions:   map[string]string{},
 		endpoints: map[string]string{},
+		children:  map[string][]Setting{},
 	}
+	b.collect(d)
 	for _, s := range d.settings {
 		b.values[s.Key()] = s
 	}
-	b.domains(d)
+	b.domains()
 	b.limits()
-	b.ranks(d)
-	b.databases(d)
-	b.callers(d)
+	b.ranks()
+	b.databases()
+	b.callers()
 	if len(b.faults) > 0 {
 		return rosemarylb.Service{}, b.faults
 	}
-	return b.service, nil
+	return b.service.WithIndex(), nil
 }
 
 // Parse reads one rendered document, as instances receive it.
@@ -79,28 +82,36 @@
 	})
 }
 
-// names returns the operator's names below a prefix, in their order, with the
-// first setting of each.
-func names(d Document, prefix ...string) []Setting {
-	var found []Setting
+// collect notes, for each way into the document, the keys below it in their
+// order, with the first setting of each.
+func (b *builder) collect(d Document) {
 	seen := map[string]bool{}
 	for _, s := range d.settings {
-		if len(s.Path) <= len(prefix) || strings.Join(s.Path[:len(prefix)], ".") != strings.Join(prefix, ".") {
-			continue
-		}
-		name := s.Path[len(prefix)]
-		if !seen[name] {
-			seen[name] = true
-			found = append(found, s)
+		parent := ""
+		for _, name := range s.Path {
+			key := parent + "." + name
+			if !seen[key] {
+				seen[key] = true
+				b.children[parent] = append(b.children[parent], s)
+			}
+			parent = key
 		}
 	}
-	return found
 }
 
-func (b *builder) domains(d Document) {
-	for _, s := range names(d, "regions") {
+// names returns the first setting of each key below a way.
+func (b *builder) names(way ...string) []Setting {
+	parent := ""
+	for _, name := range way {
+		parent += "." + name
+	}
+	return b.children[parent]
+}
+
+func (b *builder) domains() {
+	for _, s := range b.names("regions") {
 		region := s.Path[1]
-		for _, domain := range names(d, "regions", region, "domains") {
+		for _, domain := range b.names("regions", region, "domains") {
 			name := domain.Path[3]
 			if other, twice := b.regions[name]; twice {
 				b.fault(domain, "the domain is in region "+other+" already")
@@ -121,12 +132,12 @@
 	}
 }
 
-func (b *builder) ranks(d Document) {
+func (b *builder) ranks() {
 	b.service.Shares = defaultShares
 	for i := range b.service.TargetMillis {
 		b.service.TargetMillis[i] = millis(defaultTarget)
 	}
-	for _, s := range names(d, "ranks") {
+	for _, s := range b.names("ranks") {
 		name := s.Path[1]
 		rank, err := rosemarylb.ParseRank(name)
 		if err != nil {
@@ -146,20 +157,20 @@
 	}
 	if sum > sharesLimit {
 		s := b.values["ranks.background.share"]
-		for _, name := range names(d, "ranks") {
+		for _, name := range b.names("ranks") {
 			s = name
 		}
 		b.fault(s, fmt.Sprintf("the least shares add up to %d percent", sum))
 	}
 }
 
-func (b *builder) databases(d Document) {
+func (b *builder) databases() {
 	addresses := map[string]string{}
-	for _, s := range names(d, "databases") {
+	for _, s := range b.names("databases") {
 		database := rosemarylb.Database{
 			Name: rosemarylb.DatabaseName(s.Path[1]),
 		}
-		for _, e := range names(d, "databases", s.Path[1], "endpoints") {
+		for _, e := range b.names("databases", s.Path[1], "endpoints") {
 			database.Endpoints = append(database.Endpoints, b.endpoint(database.Name, e, addresses))
 		}
 		if len(database.Endpoints)%2 == 0 {
@@ -209,8 +220,8 @@
 	return e
 }
 
-func (b *builder) callers(d Document) {
-	for _, s := range names(d, "callers") {
+func (b *builder) callers() {
+	for _, s := range b.names("callers") {
 		prefix := "callers." + s.Path[1]
 		rank, _ := rosemarylb.ParseRank(b.get(prefix+".rank", rosemarylb.RankStandard.String()))
 		c := rosemarylb.CallerSpec{
--- a/internal/fleet/site/site_test.go
+++ b/internal/fleet/site/site_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -130,3 +131,31 @@
 		}
 	})
 }
+
+// described returns a document of a number of databases of three endpoints.
+func described(count int) []byte {
+	var b strings.Builder
+	b.WriteString("service: large\nregions:\n  hills:\n    domains:\n      d0:\ndatabases:\n")
+	for n := range count {
+		fmt.Fprintf(&b, "  database-%d:\n    endpoints:\n", n)
+		for e := range 3 {
+			fmt.Fprintf(&b, "      database-%d-%d:\n        address: \"10.%d.%d.%d:5432\"\n        domain: d0\n", n, e,
+				n/250, n%250, e)
+		}
+	}
+	return []byte(b.String())
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, count := range []int{3, 300, 3000} {
+		text := described(count)
+		b.Run(fmt.Sprintf("databases-%d", count), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Parse(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text))/float64(count), "bytes/database")
+		})
+	}
+}
--- a/service.go
+++ b/service.go
@@ -21,6 +21,23 @@
 	RequestMillis int64
 	// DrainMillis bounds a graceful shutdown.
 	DrainMillis int64
+
+	databases map[DatabaseName]int
+	endpoints map[EndpointID]DatabaseName
+}
+
+// WithIndex returns the configuration prepared for look-ups by name. It is
+// called once the databases are complete.
+func (s Service) WithIndex() Service {
+	s.databases = make(map[DatabaseName]int, len(s.Databases))
+	s.endpoints = map[EndpointID]DatabaseName{}
+	for i, d := range s.Databases {
+		s.databases[d.Name] = i
+		for _, e := range d.Endpoints {
+			s.endpoints[e.ID] = d.Name
+		}
+	}
+	return s
 }
 
 // Database is a configured group of endpoints.
@@ -59,24 +76,25 @@
 	Latest bool
 }
 
-// Database returns the group of the given name.
+// Database returns the group of the given name. The configuration has to be
+// indexed.
 func (s Service) Database(name DatabaseName) (Database, bool) {
-	for _, d := range s.Databases {
-		if d.Name == name {
-			return d, true
-		}
+	i, found := s.databases[name]
+	if !found {
+		return Database{}, false
 	}
-	return Database{}, false
+	return s.Databases[i], true
 }
 
-// Endpoint returns the endpoint of the given name.
+// Endpoint returns the endpoint of the given name. The configuration has to
+// be indexed.
 func (s Service) Endpoint(id EndpointID) (EndpointSpec, bool) {
-	for _, d := range s.Databases {
-		if e, found := d.Endpoint(id); found {
-			return e, true
-		}
+	name, found := s.endpoints[id]
+	if !found {
+		return EndpointSpec{}, false
 	}
-	return EndpointSpec{}, false
+	d, _ := s.Database(name)
+	return d.Endpoint(id)
 }
 
 // Caller returns the configured service of a user, by default standard.
