Never call a write not run when an earlier try of it may have run

Three more places took any repeatable request for one that leaves nothing behind: a keyed write whose primary was replaced, whose sending broke off, or whose answer was too large. Change: a session remembers that a try may have run, and answers unknown then; only reads count as traceless. The random run kills an instance.

--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -79,7 +79,7 @@
 // settleOutcome gives the answer out, or holds it until it is confirmed.
 func (o *Owner) settleOutcome(k *desk, r *running, a Answer, outcome rosemarylb.Outcome, now time.Time) {
 	switch {
-	case a.TooLarge && r.request.Repeatable():
+	case a.TooLarge && r.request.Traceless():
 		outcome = rosemarylb.NewNotRun(r.request.ID, rosemarylb.ReasonTooLarge)
 	case a.TooLarge:
 		outcome = rosemarylb.NewUnknown(r.request.ID, rosemarylb.ReasonTooLarge)
@@ -145,7 +145,7 @@
 
 // abandon gives the outcome of an answer that can no longer be confirmed.
 func abandon(h held) rosemarylb.Outcome {
-	if h.request.Repeatable() {
+	if h.request.Traceless() {
 		return rosemarylb.NewNotRun(h.request.ID, rosemarylb.ReasonWrongTerm)
 	}
 	return rosemarylb.NewUnknown(h.request.ID, rosemarylb.ReasonReplaced)
--- a/internal/process/service/hub.go
+++ b/internal/process/service/hub.go
@@ -42,7 +42,7 @@
 	if r.Target.Lease != 0 && !r.Class.MayCommit() {
 		return rosemarylb.NewNotRun(r.ID, rosemarylb.ReasonLeaseGone)
 	}
-	if left && !r.Repeatable() {
+	if left && !r.Traceless() {
 		return rosemarylb.NewUnknown(r.ID, rosemarylb.ReasonLost)
 	}
 	return rosemarylb.NewNotRun(r.ID, rosemarylb.ReasonUnreachable)
--- a/internal/process/service/service_test.go
+++ b/internal/process/service/service_test.go
@@ -243,7 +243,11 @@
 func disturb(f *fleet.Fleet, r *rand.Rand) string {
 	ids := []rosemarylb.EndpointID{"book-0", "book-1", "book-2"}
 	e := f.Endpoints[ids[r.IntN(3)]]
-	switch r.IntN(8) {
+	switch r.IntN(9) {
+	case 8:
+		// Two of the three instances stay, so that each region is served.
+		f.Kill(1)
+		return "kill an instance"
 	case 0:
 		e.SetFaults(endpoint.Faults{
 			Frozen: true,
@@ -331,7 +335,7 @@
 	for _, text := range o.faults {
 		t.Error(text)
 	}
-	c := connect(t, f, 0)
+	c := connect(t, f, 2)
 	rows, err := c.Query(t.Context(), "SELECT op FROM effects")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/traffic/session/session.go
+++ b/internal/traffic/session/session.go
@@ -36,6 +36,7 @@
 	aborted  bool
 	key      string
 	attempts int
+	unsure   bool
 	request  rosemarylb.Request
 	active   bool
 }
@@ -153,6 +154,7 @@
 	s.request = r
 	s.active = true
 	s.attempts = 0
+	s.unsure = false
 	return s, r
 }
 
@@ -192,6 +194,7 @@
 func (s Session) WithOutcome(o rosemarylb.Outcome, now time.Time) (Session, Verdict) {
 	if s.mayRetry(o, now) {
 		s.attempts++
+		s.unsure = s.unsure || o.Kind == rosemarylb.OutcomeUnknown
 		if o.Reason == rosemarylb.ReasonReadOnly {
 			s.request = s.request.WithClass(rosemarylb.ClassWrite)
 		}
@@ -208,6 +211,10 @@
 func (s Session) WithEnd(o rosemarylb.Outcome, now time.Time) (Session, Verdict) {
 	r := s.request
 	s.active = false
+	if s.unsure && o.Kind == rosemarylb.OutcomeNotRun && !r.Traceless() {
+		// The last try did not run, but an earlier one may have.
+		o = rosemarylb.NewUnknown(o.ID, o.Reason)
+	}
 	switch o.Kind {
 	case rosemarylb.OutcomeDone:
 		s = s.withDone(r, o, now)
--- a/internal/traffic/session/session_test.go
+++ b/internal/traffic/session/session_test.go
@@ -154,3 +154,15 @@
 		t.Error("got an open transaction after its end, want none")
 	}
 }
+
+func TestARetryThatWasNotRunDoesNotUndoAnEarlierTry(t *testing.T) {
+	s, r := ask(newSession().WithKey("k"), "INSERT INTO dues VALUES (1)", 1)
+	s, v := s.WithOutcome(rosemarylb.NewUnknown(r.ID, rosemarylb.ReasonLost), now)
+	if !v.Retry {
+		t.Fatal("got no retry of a keyed write, want one")
+	}
+	_, v = s.WithOutcome(rosemarylb.NewNotRun(r.ID, rosemarylb.ReasonDeadline), now)
+	if got, want := v.Outcome.Kind, rosemarylb.OutcomeUnknown; got != want {
+		t.Errorf("got %s, want %s: the first try may have run", got, want)
+	}
+}
--- a/request.go
+++ b/request.go
@@ -128,7 +128,13 @@
 	return r
 }
 
+// Traceless reports whether the request leaves nothing behind when it has
+// run, so that it counts as not run once its answer is lost.
+func (r Request) Traceless() bool {
+	return r.Class == ClassRead
+}
+
 // Repeatable reports whether running the request twice does no harm.
 func (r Request) Repeatable() bool {
-	return r.Class == ClassRead || r.Key != ""
+	return r.Traceless() || r.Key != ""
 }
