Number sessions and requests so that a restarted instance repeats none

Cause: found while reading: an instance that restarts under its name began its sessions and requests at 1 again, so a late answer to a request of the former process could be taken for one of the new process. Change: the numbers begin at the time of the start.

--- a/identity.go
+++ b/identity.go
@@ -27,7 +27,8 @@
 	Instance InstanceID
 	// Session is the caller's session on that instance.
 	Session SessionID
-	// Sequence numbers the requests of that instance from 1.
+	// Sequence numbers the requests of that instance, and rises over its
+	// restarts.
 	Sequence uint64
 }
 
--- a/internal/peer/caller/decoder_test.go
+++ b/internal/peer/caller/decoder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -123,6 +124,15 @@
 	}
 }
 
+func TestNumbersRiseOverARestart(t *testing.T) {
+	started := time.Unix(1000, 0)
+	// A process that takes a million requests in a second is restarted.
+	before := firstNumber(started) + 1000000
+	if got := firstNumber(started.Add(time.Second)); got <= before {
+		t.Errorf("got first number %d, want one above %d", got, before)
+	}
+}
+
 func FuzzDecoder(f *testing.F) {
 	f.Add(encode(&pgproto3.Query{
 		String: "SELECT 1",
--- a/internal/peer/caller/edge.go
+++ b/internal/peer/caller/edge.go
@@ -96,22 +96,33 @@
 
 // NewEdge returns an edge that is not yet started.
 func NewEdge(self rosemarylb.InstanceID, view *duty.Latest[rosemarylb.View], r rosemarylb.Router, f Fleet) *Edge {
+	now := time.Now()
+	first := firstNumber(now)
 	return &Edge{
-		self:    self,
-		view:    view,
-		router:  r,
-		fleet:   f,
-		ring:    duty.NewRing[Event]("edge", edgeCapacity),
-		answers: duty.NewRing[Event]("edge-answers", outstandingLimit),
-		budget:  retry.NewBudget(),
-		known:   newKnowledge(),
-		clients: map[rosemarylb.SessionID]*client{},
-		sockets: map[*socket]*client{},
-		flying:  map[rosemarylb.SessionID]*client{},
-		tickAt:  time.Now(),
+		self:     self,
+		view:     view,
+		router:   r,
+		fleet:    f,
+		ring:     duty.NewRing[Event]("edge", edgeCapacity),
+		answers:  duty.NewRing[Event]("edge-answers", outstandingLimit),
+		budget:   retry.NewBudget(),
+		known:    newKnowledge(),
+		clients:  map[rosemarylb.SessionID]*client{},
+		sockets:  map[*socket]*client{},
+		flying:   map[rosemarylb.SessionID]*client{},
+		session:  rosemarylb.SessionID(first),
+		sequence: first,
+		tickAt:   now,
 	}
 }
 
+// firstNumber is where the numbers of sessions and requests begin. It rises
+// with time, so that an answer to a request of a former process under the same
+// name is never taken for one of this process.
+func firstNumber(now time.Time) uint64 {
+	return uint64(now.UnixMilli()) << sessionBits
+}
+
 // Ring returns the ring of the callers' events.
 func (e *Edge) Ring() *duty.Ring[Event] {
 	return e.ring
