Give each arbiter a proposer's name of its own

Cause: found while reading: a term is given to a proposer by name, and a keeper that restarts, or keeps a database again, has forgotten the terms that it proposed. It could be given one of them again by the endpoints that had granted it, and promote another endpoint in the same term. Change: the proposer's name has a random part for each arbiter. The trial restarts keepers.

--- a/behaviour.go
+++ b/behaviour.go
@@ -111,7 +111,7 @@
 	Endpoint EndpointID
 	// Term is the term it concerns.
 	Term Term
-	// Proposer is the instance that asks for the term.
+	// Proposer names the arbiter that asks for the term.
 	Proposer InstanceID
 	// Upstream is the address of the primary to follow.
 	Upstream string
--- a/internal/failover/arbiter/election.go
+++ b/internal/failover/arbiter/election.go
@@ -59,7 +59,7 @@
 // latest log. An endpoint gives a term to one proposer only, so a term has at
 // most one primary, whatever the keepers believe of each other.
 type Election struct {
-	self         rosemarylb.InstanceID
+	proposer     rosemarylb.InstanceID
 	database     rosemarylb.Database
 	members      []member
 	primary      rosemarylb.Primary
@@ -84,17 +84,19 @@
 	}
 }
 
-// NewElection returns the default arbiter of a database for one proposer.
+// NewElection returns the default arbiter of a database for one proposer. Each
+// arbiter proposes under a name of its own: a restarted one has forgotten the
+// terms that it proposed, and must not be given one again that it has.
 func NewElection(
 	self rosemarylb.InstanceID, d rosemarylb.Database, options ...Option,
 ) rosemarylb.Arbiter {
 	e := Election{
-		self:   self,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
 		o(&e)
 	}
+	e.proposer = rosemarylb.InstanceID(fmt.Sprintf("%s.%016x", self, e.random.Uint64()))
 	return e.WithDatabase(d)
 }
 
@@ -270,7 +272,7 @@
 		Kind:     rosemarylb.CommandStatus,
 		Endpoint: m.spec.ID,
 		Term:     e.term,
-		Proposer: e.self,
+		Proposer: e.proposer,
 	}
 	switch {
 	case e.phase == phaseFencing && m.granted != e.term && e.votes(m):
--- a/internal/failover/arbiter/trial_test.go
+++ b/internal/failover/arbiter/trial_test.go
@@ -501,7 +501,7 @@
 
 // disturb draws one fault, or heals.
 func (t *trial) disturb() {
-	switch t.random.IntN(11) {
+	switch t.random.IntN(12) {
 	case 0, 1:
 		s := t.servers[t.database.Endpoints[t.random.IntN(len(t.database.Endpoints))].ID]
 		s.frozen = !s.frozen
@@ -514,6 +514,9 @@
 		t.loss = t.random.Float64() * 0.3
 	case 7:
 		t.late = t.random.Float64() * 0.2
+	case 10:
+		// A restarted keeper has forgotten the terms that it proposed.
+		t.restart(t.keepers[t.random.IntN(len(t.keepers))])
 	case 8:
 		// A keeper that only reads keeps an old primary's log as it is.
 		k := t.keepers[t.random.IntN(len(t.keepers))]
@@ -533,6 +536,13 @@
 	}
 }
 
+func (t *trial) restart(k *keeper) {
+	k.arbiter = arbiter.NewElection(k.id, t.database, arbiter.WithSeed(t.random.Uint64()))
+	k.acks = quorum.NewMajority(t.database.Quorum())
+	k.primary = rosemarylb.Primary{}
+	k.held = nil
+}
+
 func (t *trial) randomPeer() string {
 	n := t.random.IntN(len(t.keepers) + len(t.database.Endpoints))
 	if n < len(t.keepers) {
