Run the requests of open transactions without a queue

Cause: since they no longer wait for slots, their queue was always empty again within the same event; it was dead weight with a branch at each use. Change: they run when they arrive; one queue an endpoint remains. Comments for functions that lacked them.

--- a/internal/peer/endpoint/desk.go
+++ b/internal/peer/endpoint/desk.go
@@ -36,8 +36,7 @@
 	state   rosemarylb.EndpointState
 	acks    rosemarylb.Acknowledger
 	pool    pool.Pool
-	fresh   rosemarylb.Queue
-	within  rosemarylb.Queue
+	queue   rosemarylb.Queue
 	links   map[uint64]*link
 	running map[uint64]*running
 	held    []held
@@ -46,7 +45,7 @@
 	wantAt  time.Time
 }
 
-func newDesk(spec rosemarylb.EndpointSpec, acks rosemarylb.Acknowledger, fresh, within rosemarylb.Queue) *desk {
+func newDesk(spec rosemarylb.EndpointSpec, acks rosemarylb.Acknowledger, queue rosemarylb.Queue) *desk {
 	return &desk{
 		spec: spec,
 		state: rosemarylb.EndpointState{
@@ -54,14 +53,13 @@
 		},
 		acks:    acks,
 		pool:    pool.NewPool(spec.Connections),
-		fresh:   fresh,
-		within:  within,
+		queue:   queue,
 		links:   map[uint64]*link{},
 		running: map[uint64]*running{},
 	}
 }
 
-// waits reports whether requests of either queue wait.
+// waits reports whether requests wait in a queue.
 func waits(q rosemarylb.Queue) bool {
 	for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
 		if q.Depth(rank) > 0 {
@@ -75,7 +73,7 @@
 // connection.
 func (d *desk) mayBegin() bool {
 	for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
-		if d.fresh.Depth(rank) > 0 {
+		if d.queue.Depth(rank) > 0 {
 			return d.pool.MayBegin(rank)
 		}
 	}
--- a/internal/peer/endpoint/dispatch.go
+++ b/internal/peer/endpoint/dispatch.go
@@ -6,54 +6,24 @@
 	"rosemarylb"
 )
 
+// enqueue puts a new request into the queue, which may refuse it or another.
 func (o *Owner) enqueue(k *desk, r rosemarylb.Request, now time.Time) {
-	q, within := k.fresh, r.Target.Lease != 0
-	if within {
-		q = k.within
-	}
-	q, refusal := q.WithRequest(r, now)
+	q, refusal := k.queue.WithRequest(r, now)
+	k.queue = q
 	if refusal.Reason != rosemarylb.ReasonNone {
 		o.refuse(refusal.Request, refusal.Reason, k)
 	}
-	if within {
-		k.within = q
-	} else {
-		k.fresh = q
-	}
 }
 
-// dispatch runs what open transactions ask for, and gives free slots to new
-// requests. A transaction does not wait for a slot: those that hold the slots
-// may be waiting for its locks.
+// dispatch gives free slots to waiting requests.
 func (o *Owner) dispatch(k *desk, now time.Time) {
-	for o.dispatchWithin(k, now) {
-	}
-	for len(k.running) < k.spec.Slots && o.dispatchFresh(k, now) {
-	}
-}
-
-func (o *Owner) dispatchWithin(k *desk, now time.Time) bool {
-	if !waits(k.within) {
-		return false
-	}
-	next, rest := k.within.Next(now)
-	k.within = rest
-	for _, r := range next.Expired {
-		o.refuse(r, rosemarylb.ReasonDeadline, k)
-	}
-	if !next.Found {
-		return false
-	}
-	if !k.pool.LeasedBy(next.Request.Target.Lease, next.Request.ID) {
-		o.refuse(next.Request, rosemarylb.ReasonLeaseGone, k)
-		return true
+	for len(k.running) < k.spec.Slots && o.dispatchNext(k, now) {
 	}
-	o.run(k, next.Request, next.Request.Target.Lease, now)
-	return true
 }
 
-func (o *Owner) dispatchFresh(k *desk, now time.Time) bool {
-	if !waits(k.fresh) || !k.mayBegin() {
+// dispatchNext runs one waiting request, false when none can run now.
+func (o *Owner) dispatchNext(k *desk, now time.Time) bool {
+	if !waits(k.queue) || !k.mayBegin() {
 		return false
 	}
 	idle, found := k.pool.Idle()
@@ -61,8 +31,8 @@
 		o.open(k, now)
 		return false
 	}
-	next, rest := k.fresh.Next(now)
-	k.fresh = rest
+	next, rest := k.queue.Next(now)
+	k.queue = rest
 	for _, r := range next.Expired {
 		o.refuse(r, rosemarylb.ReasonDeadline, k)
 	}
@@ -117,6 +87,7 @@
 	l.connection.Send(append(prefix, r.Payload...))
 }
 
+// refuse tells that a request is not run, and what is known of the endpoint.
 func (o *Owner) refuse(r rosemarylb.Request, reason rosemarylb.Reason, k *desk) {
 	refusedTotal.Inc()
 	outcome := rosemarylb.NewNotRun(r.ID, reason)
@@ -126,6 +97,7 @@
 	o.reply(outcome)
 }
 
+// wish asks for quick probes while something waits for their result.
 func (o *Owner) wish(k *desk, now time.Time) {
 	if now.Before(k.wantAt) {
 		return
--- a/internal/peer/endpoint/loss.go
+++ b/internal/peer/endpoint/loss.go
@@ -35,14 +35,14 @@
 		o.refuse(r, rosemarylb.ReasonUnreachable, k)
 	}
 	k.waiting = nil
-	o.refuseFresh(k, rosemarylb.ReasonUnreachable, now)
+	o.refuseQueued(k, rosemarylb.ReasonUnreachable, now)
 }
 
-// refuseFresh refuses the new requests that wait for an endpoint.
-func (o *Owner) refuseFresh(k *desk, reason rosemarylb.Reason, now time.Time) {
-	for waits(k.fresh) {
-		next, rest := k.fresh.Next(now)
-		k.fresh = rest
+// refuseQueued refuses the new requests that wait for an endpoint.
+func (o *Owner) refuseQueued(k *desk, reason rosemarylb.Reason, now time.Time) {
+	for waits(k.queue) {
+		next, rest := k.queue.Next(now)
+		k.queue = rest
 		for _, r := range next.Expired {
 			o.refuse(r, rosemarylb.ReasonDeadline, k)
 		}
@@ -80,7 +80,7 @@
 	}
 	o.drop(k, e.connection.ID)
 	if held && entry.State == poolOpening && e.sqlState != stateTooManyConnections && k.pool.Size() == 0 {
-		o.refuseFresh(k, rosemarylb.ReasonUnreachable, now)
+		o.refuseQueued(k, rosemarylb.ReasonUnreachable, now)
 	}
 	o.dispatch(k, now)
 }
@@ -137,12 +137,10 @@
 		waiting = append(waiting, r)
 	}
 	k.waiting = waiting
-	for _, q := range []*rosemarylb.Queue{&k.fresh, &k.within} {
-		rest, expired := (*q).WithoutExpired(now)
-		*q = rest
-		for _, r := range expired {
-			o.refuse(r, rosemarylb.ReasonDeadline, k)
-		}
+	queue, expired := k.queue.WithoutExpired(now)
+	k.queue = queue
+	for _, r := range expired {
+		o.refuse(r, rosemarylb.ReasonDeadline, k)
 	}
 	var still []held
 	for _, h := range k.held {
@@ -169,8 +167,8 @@
 // cancel withdraws a request that waits, or asks the endpoint to stop it.
 func (o *Owner) cancel(id rosemarylb.RequestID) {
 	for _, k := range o.desks {
-		if rest, found := k.fresh.WithoutRequest(id); found {
-			k.fresh = rest
+		if rest, found := k.queue.WithoutRequest(id); found {
+			k.queue = rest
 			o.reply(rosemarylb.NewNotRun(id, rosemarylb.ReasonCanceled))
 			return
 		}
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -232,13 +232,10 @@
 		return nil, false
 	}
 	database, _ := v.Service.Database(spec.Database)
-	queues := []queue.Option{
+	k := newDesk(spec, quorum.NewMajority(database.Quorum()), queue.NewShares(
 		queue.WithShares(v.Service.Shares),
 		queue.WithSlots(spec.Slots),
-		queue.WithLimit(v.Service.QueueLimit),
-	}
-	k := newDesk(spec, quorum.NewMajority(database.Quorum()), queue.NewShares(queues...),
-		queue.NewShares(append(queues, queue.WithoutShedding())...))
+		queue.WithLimit(v.Service.QueueLimit)))
 	k.owned = o.owns(v, spec)
 	if p, known := v.Primary(spec.Database); known {
 		o.appoint(k, p, now)
@@ -257,7 +254,13 @@
 		o.refuse(r, reason, k)
 		return
 	}
-	if r.Target.Term == 0 && r.Target.Lease == 0 && !k.satisfies(r) {
+	if r.Target.Lease != 0 {
+		// A transaction does not wait for a slot: the requests that hold the
+		// slots may be waiting for its locks.
+		o.run(k, r, r.Target.Lease, now)
+		return
+	}
+	if r.Target.Term == 0 && !k.satisfies(r) {
 		k.waiting = append(k.waiting, r)
 		o.wish(k, now)
 		return
--- a/internal/peer/endpoint/report.go
+++ b/internal/peer/endpoint/report.go
@@ -54,7 +54,7 @@
 		r.Connections[e.State.String()]++
 	}
 	for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
-		r.Queued[rank.String()] = d.fresh.Depth(rank) + d.within.Depth(rank)
+		r.Queued[rank.String()] = d.queue.Depth(rank)
 	}
 	return r
 }
--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -38,12 +38,7 @@
 }
 
 func (o *Owner) account(k *desk, r *running, now time.Time) {
-	service := now.Sub(r.startedAt)
-	if r.request.Target.Lease != 0 {
-		k.within = k.within.WithServed(r.request.Rank, service)
-		return
-	}
-	k.fresh = k.fresh.WithServed(r.request.Rank, service)
+	k.queue = k.queue.WithServed(r.request.Rank, now.Sub(r.startedAt))
 }
 
 func (o *Owner) outcome(k *desk, r *running, a Answer) rosemarylb.Outcome {
@@ -225,7 +220,7 @@
 	k.leads = p.Endpoint == k.spec.ID
 	k.acks = k.acks.WithPrimary(p)
 	o.recheck(k, now)
-	o.refuseFresh(k, rosemarylb.ReasonWrongTerm, now)
+	o.refuseQueued(k, rosemarylb.ReasonWrongTerm, now)
 	o.dropOutdated(k)
 	if !k.leads {
 		return
--- a/internal/traffic/queue/shares.go
+++ b/internal/traffic/queue/shares.go
@@ -80,7 +80,7 @@
 
 // WithRequest implements rosemarylb.Queue.
 func (s Shares) WithRequest(r rosemarylb.Request, now time.Time) (rosemarylb.Queue, rosemarylb.Refusal) {
-	if s.shed && r.Target.Lease == 0 && now.Add(s.delay(r)).After(r.QueueUntil) {
+	if s.shed && now.Add(s.delay(r)).After(r.QueueUntil) {
 		return s, rosemarylb.Refusal{
 			Request: r,
 			Reason:  rosemarylb.ReasonDeadline,
@@ -133,7 +133,7 @@
 		}
 		var r rosemarylb.Request
 		r, s.lanes[rank] = s.lanes[rank].pop()
-		if r.Target.Lease == 0 && s.late(r, now) {
+		if s.late(r, now) {
 			expired = append(expired, r)
 			continue
 		}
