Let new settings reach queues in use; refuse changes of a group in service

Cause: found while reading: an endpoint's queue kept the shares, limit and slots that it was made with, so a revision was not in force there; and a changed set of endpoints makes majorities that need not meet the former ones, so that an acknowledged commit could be lost. Change: queues take the settings of the configuration in force; config apply refuses a document that changes the endpoints of a database in service. A safe way to exchange an endpoint is not built.

--- a/behaviour.go
+++ b/behaviour.go
@@ -40,6 +40,9 @@
 	WithoutExpired(now time.Time) (Queue, []Request)
 	// WithServed returns the queue told how long a request occupied a slot.
 	WithServed(rank Rank, service time.Duration) Queue
+	// WithService returns the queue under the settings of a configuration, for
+	// an endpoint with a number of slots.
+	WithService(s Service, slots int) Queue
 	// Depth returns how many requests wait in a rank.
 	Depth(rank Rank) int
 }
--- a/internal/experiment/flood/baseline.go
+++ b/internal/experiment/flood/baseline.go
@@ -99,6 +99,11 @@
 	return b
 }
 
+// WithService implements rosemarylb.Queue.
+func (b *baseline) WithService(rosemarylb.Service, int) rosemarylb.Queue {
+	return b
+}
+
 // Depth implements rosemarylb.Queue.
 func (b *baseline) Depth(rank rosemarylb.Rank) int {
 	return len(b.lanes[rank])
--- a/internal/fleet/site/document.go
+++ b/internal/fleet/site/document.go
@@ -343,3 +343,34 @@
 	})
 	return changes
 }
+
+// GroupChanges returns the databases of both documents whose sets of endpoints
+// differ. A majority of the one set need not meet a majority of the other, so
+// such a change could lose what was acknowledged.
+func GroupChanges(before, after Document) []string {
+	known := groups(before)
+	var changed []string
+	for name, endpoints := range groups(after) {
+		if standing, found := known[name]; found && standing != endpoints {
+			changed = append(changed, name)
+		}
+	}
+	sort.Strings(changed)
+	return changed
+}
+
+// groups returns the sorted names of each database's endpoints, as one text.
+func groups(d Document) map[string]string {
+	members := map[string][]string{}
+	for _, s := range d.settings {
+		if len(s.Path) == 5 && s.Path[0] == "databases" && s.Path[4] == "address" {
+			members[s.Path[1]] = append(members[s.Path[1]], s.Path[3])
+		}
+	}
+	sets := map[string]string{}
+	for name, endpoints := range members {
+		sort.Strings(endpoints)
+		sets[name] = strings.Join(endpoints, " ")
+	}
+	return sets
+}
--- a/internal/fleet/site/site_test.go
+++ b/internal/fleet/site/site_test.go
@@ -132,6 +132,31 @@
 	})
 }
 
+func TestGroupsOfDatabasesInServiceStay(t *testing.T) {
+	read := func(text string) Document {
+		d, err := NewDocument(file("a", text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	base := read(small)
+	tests := []struct {
+		name string
+		text string
+		want int
+	}{
+		{"another address", strings.Replace(small, "127.0.0.1:1", "127.0.0.1:9", 1), 0},
+		{"another endpoint", strings.Replace(small, "book-0:", "book-9:", 1), 1},
+		{"another database", strings.Replace(strings.Replace(small, "book:", "shelf:", 1), "book-0:", "shelf-0:", 1), 0},
+	}
+	for _, tt := range tests {
+		if got := GroupChanges(base, read(tt.text)); len(got) != tt.want {
+			t.Errorf("%s: got %v, want %d changed", tt.name, got, tt.want)
+		}
+	}
+}
+
 // described returns a document of a number of databases of three endpoints.
 func described(count int) []byte {
 	var b strings.Builder
--- a/internal/peer/endpoint/owner.go
+++ b/internal/peer/endpoint/owner.go
@@ -184,6 +184,7 @@
 		if found {
 			k.spec = spec
 			k.pool = k.pool.WithLimit(spec.Connections)
+			k.queue = k.queue.WithService(v.Service, spec.Slots)
 		}
 		k.owned = found && o.owns(v, spec)
 		if p, known := v.Primary(k.spec.Database); known {
@@ -232,10 +233,8 @@
 		return nil, false
 	}
 	database, _ := v.Service.Database(spec.Database)
-	k := newDesk(spec, quorum.NewMajority(database.Quorum()), queue.NewShares(
-		queue.WithShares(v.Service.Shares),
-		queue.WithSlots(spec.Slots),
-		queue.WithLimit(v.Service.QueueLimit)))
+	k := newDesk(spec, quorum.NewMajority(database.Quorum()), queue.NewShares().WithService(v.Service,
+		spec.Slots))
 	k.owned = o.owns(v, spec)
 	if p, known := v.Primary(spec.Database); known {
 		o.appoint(k, p, now)
--- a/internal/process/fleettest/fleet_test.go
+++ b/internal/process/fleettest/fleet_test.go
@@ -507,4 +507,16 @@
 	if !strings.Contains(out, "limits.queue") {
 		t.Errorf("got %q, want the change that came first", out)
 	}
+	text, err := os.ReadFile(f.base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := filepath.Join(t.TempDir(), "other.yaml")
+	if err := os.WriteFile(other, bytes.Replace(text, []byte("book-2:"), []byte("book-9:"), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out = f.cli(2, "config", "apply", "--base", other, "--platform", f.platformURL())
+	if !strings.Contains(out, "endpoints of book") {
+		t.Errorf("got %q, want the change of the group refused", out)
+	}
 }
--- a/internal/shell/command/config.go
+++ b/internal/shell/command/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/user"
+	"strings"
 	"time"
 
 	"rosemarylb"
@@ -124,6 +125,9 @@
 	if c.Seen >= 0 && uint64(c.Seen) != before.Revision {
 		return c.conflict(before, d)
 	}
+	if err := refuseGroupChange(before, d); err != nil {
+		return err
+	}
 	changes := differences(before, d)
 	if c.DryRun {
 		return c.print(applyResult{
@@ -159,14 +163,31 @@
 
 // differences returns what a document changes in a standing publication.
 func differences(standing platform.Publication, d site.Document) []site.Change {
-	before, err := site.NewDocument(site.File{
+	return site.Diff(documentOf(standing), d)
+}
+
+// documentOf returns a publication's document, an empty one if it cannot be
+// read.
+func documentOf(p platform.Publication) site.Document {
+	d, err := site.NewDocument(site.File{
 		Name: "published",
-		Text: standing.Document,
+		Text: p.Document,
 	})
 	if err != nil {
+		return site.Document{}
+	}
+	return d
+}
+
+// refuseGroupChange refuses a document that changes the endpoints of a
+// database that is in service.
+func refuseGroupChange(standing platform.Publication, d site.Document) error {
+	changed := site.GroupChanges(documentOf(standing), d)
+	if len(changed) == 0 {
 		return nil
 	}
-	return site.Diff(before, d)
+	return usage(errors.Newf("the endpoints of %s in service cannot be added, removed or renamed: a commit that the "+
+		"former group holds could be lost", strings.Join(changed, ", ")))
 }
 
 func (c *applyCommand) conflict(standing platform.Publication, d site.Document) error {
--- a/internal/traffic/queue/shares.go
+++ b/internal/traffic/queue/shares.go
@@ -212,6 +212,14 @@
 	return s
 }
 
+// WithService implements rosemarylb.Queue.
+func (s Shares) WithService(v rosemarylb.Service, slots int) rosemarylb.Queue {
+	s.shares = v.Shares
+	s.limit = v.QueueLimit
+	s.slots = max(slots, 1)
+	return s
+}
+
 // Depth implements rosemarylb.Queue.
 func (s Shares) Depth(rank rosemarylb.Rank) int {
 	return s.lanes[rank].depth
