--- a/internal/shell/command/config.go
+++ b/internal/shell/command/config.go
@@ -74,7 +74,7 @@
 	*shell
 	files
 
-	Origins bool `long:"origins" description:"show the file, line and column of each value"`
+	Origins bool `long:"origins" env:"ROSEMARYLB_ORIGINS" description:"show the file, line and column of each value"`
 }
 
 // Execute implements flags.Commander.
@@ -93,9 +93,9 @@
 
 	Platform string `long:"platform" env:"ROSEMARYLB_PLATFORM" required:"true" description:"base address of the platform's service"`
 	Author   string `long:"author" env:"ROSEMARYLB_AUTHOR" description:"name recorded with the publication"`
-	Seen     int64  `long:"seen" default:"-1" description:"revision that the change was made from; refused if another one stands"`
-	DryRun   bool   `long:"dry-run" description:"show the changes and publish nothing"`
-	JSON     bool   `long:"json" description:"print the result as JSON"`
+	Seen     int64  `long:"seen" env:"ROSEMARYLB_SEEN" default:"-1" description:"revision that the change was made from; refused if another one stands"`
+	DryRun   bool   `long:"dry-run" env:"ROSEMARYLB_DRY_RUN" description:"show the changes and publish nothing"`
+	JSON     bool   `long:"json" env:"ROSEMARYLB_JSON" description:"print the result as JSON"`
 }
 
 // applyResult is the result of a publication for scripts.
@@ -240,10 +240,10 @@
 	*shell
 
 	Operators []string `long:"operator" env:"ROSEMARYLB_OPERATORS" env-delim:"," required:"true" description:"operator address of an instance; repeat for each"`
-	Revision  uint64   `long:"revision" description:"revision that has to be in force; by default the highest found"`
-	Follow    bool     `long:"follow" description:"wait until it is in force everywhere"`
-	Timeout   string   `long:"timeout" default:"18s" description:"how long to follow"`
-	JSON      bool     `long:"json" description:"print the result as JSON"`
+	Revision  uint64   `long:"revision" env:"ROSEMARYLB_REVISION" description:"revision that has to be in force; by default the highest found"`
+	Follow    bool     `long:"follow" env:"ROSEMARYLB_FOLLOW" description:"wait until it is in force everywhere"`
+	Timeout   string   `long:"timeout" env:"ROSEMARYLB_TIMEOUT" default:"18s" description:"how long to follow"`
+	JSON      bool     `long:"json" env:"ROSEMARYLB_JSON" description:"print the result as JSON"`
 }
 
 // rollout is how far a revision is in force.
--- a/internal/shell/command/demo.go
+++ b/internal/shell/command/demo.go
@@ -16,7 +16,7 @@
 	files
 
 	Port int  `long:"port" env:"ROSEMARYLB_DEMO_PORT" default:"6432" description:"port of the first instance; the others follow"`
-	Once bool `long:"once" description:"run the main job and stop"`
+	Once bool `long:"once" env:"ROSEMARYLB_DEMO_ONCE" description:"run the main job and stop"`
 }
 
 // Execute implements flags.Commander.
