Remove what nothing calls, and a wrapper of one field

Cause: found in a last reading of the whole change: seeds of a membership table and a pool's retry time were set up for callers that never came, the stand-in counted a peak that no test read, and a caller's prepared statement was wrapped in a struct with that one field. Change: they are gone; the decoder keeps statements as they are.

--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -92,13 +92,6 @@
 	}
 }
 
-// WithSeeds sets the instances to contact first.
-func WithSeeds(seeds []rosemarylb.Member) Option {
-	return func(t *Table) {
-		t.seeds = seeds
-	}
-}
-
 // WithKnown sets the instances that are known from the start, ordered by name.
 func WithKnown(members []rosemarylb.Member, now time.Time) Option {
 	return func(t *Table) {
--- a/internal/peer/caller/decoder.go
+++ b/internal/peer/caller/decoder.go
@@ -85,15 +85,10 @@
 	reason   string
 }
 
-// prepared is a statement of a session, under its name in the whole fleet.
-type prepared struct {
-	statement rosemarylb.Statement
-}
-
 // decoder turns a caller's messages into commands. It belongs to the event
 // loop of its socket.
 type decoder struct {
-	named     *immutable.Map[string, prepared]
+	named     *immutable.Map[string, rosemarylb.Statement]
 	payload   []byte
 	texts     []string
 	needs     []rosemarylb.Statement
@@ -104,7 +99,7 @@
 
 func newDecoder() *decoder {
 	return &decoder{
-		named: immutable.NewMap[string, prepared](nil),
+		named: immutable.NewMap[string, rosemarylb.Statement](nil),
 	}
 }
 
@@ -205,9 +200,7 @@
 		Query:          strings.Clone(p.Query),
 		ParameterTypes: append([]uint32(nil), p.ParameterOIDs...),
 	}
-	d.named = d.named.Set(p.Name, prepared{
-		statement: s,
-	})
+	d.named = d.named.Set(p.Name, s)
 	d.need(s)
 	return d.standIn(answerParse)
 }
@@ -241,14 +234,14 @@
 	if err := b.Decode(m[headerSize:]); err != nil {
 		return errors.Wrap(errMalformed, "bind")
 	}
-	p, found := d.named.Get(b.PreparedStatement)
+	s, found := d.named.Get(b.PreparedStatement)
 	if !found {
 		d.refuse(stateNoStatement, "prepared statement \""+b.PreparedStatement+"\" does not exist")
 		return nil
 	}
-	d.need(p.statement)
-	d.texts = append(d.texts, p.statement.Query)
-	b.PreparedStatement = p.statement.Name
+	d.need(s)
+	d.texts = append(d.texts, s.Query)
+	b.PreparedStatement = s.Name
 	encoded, err := b.Encode(nil)
 	if err != nil {
 		return errors.Wrap(errMalformed, "bind")
@@ -264,13 +257,13 @@
 	if e.ObjectType != 'S' {
 		return d.keep(m)
 	}
-	p, found := d.named.Get(e.Name)
+	s, found := d.named.Get(e.Name)
 	if !found {
 		d.refuse(stateNoStatement, "prepared statement \""+e.Name+"\" does not exist")
 		return nil
 	}
-	d.need(p.statement)
-	e.Name = p.statement.Name
+	d.need(s)
+	e.Name = s.Name
 	encoded, err := e.Encode(nil)
 	if err != nil {
 		return errors.Wrap(errMalformed, "describe")
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -25,7 +25,6 @@
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
-	peak        int
 	next        uint32
 	closed      atomic.Bool
 	stop        context.CancelFunc
@@ -87,13 +86,6 @@
 	return s.listener.Addr().String()
 }
 
-// Peak returns the greatest number of data connections open at once.
-func (s *Server) Peak() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.peak
-}
-
 // IsPrimary reports whether the endpoint takes writes.
 func (s *Server) IsPrimary() bool {
 	s.history.mu.Lock()
@@ -152,9 +144,6 @@
 	if !c.internal() && open >= s.limit {
 		return false
 	}
-	if !c.internal() {
-		s.peak = max(s.peak, open+1)
-	}
 	s.connections[c] = struct{}{}
 	return true
 }
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -135,11 +135,6 @@
 	return len(p.entries) < p.limit && !now.Before(p.retryAt)
 }
 
-// RetryAt returns when a refused opening may be tried again.
-func (p Pool) RetryAt() time.Time {
-	return p.retryAt
-}
-
 // WithOpening returns the pool with one more connection that is opening.
 func (p Pool) WithOpening(id uint64, until time.Time) Pool {
 	rosemarylb.Invariantf(len(p.entries) < p.limit, "a connection over the limit of %d", p.limit)
