--- a/behaviour.go
+++ b/behaviour.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Router chooses where a request runs.
@@ -194,3 +197,144 @@
 	// Object is the object as it stands.
 	Object Object
 }
+
+// ConnectionID numbers a connection to an endpoint within the process.
+type ConnectionID uint64
+
+// CallerPort answers callers in the protocol of their front end. Its methods
+// never wait.
+type CallerPort interface {
+	// Welcome tells a session that it may ask.
+	Welcome(id SessionID)
+	// Answer sends a whole reply to a session.
+	Answer(id SessionID, r Reply)
+	// Refuse tells a session that was not welcomed why, and ends it.
+	Refuse(id SessionID, r Reply)
+	// Close ends a session's connection, after what was sent.
+	Close(id SessionID)
+}
+
+// EndpointPort reaches endpoints in their protocol. Its methods never wait;
+// what comes of them is told to the owner of the port.
+type EndpointPort interface {
+	// Open starts to open a connection.
+	Open(id ConnectionID, e EndpointSpec)
+	// Send sends a query on an open connection.
+	Send(id ConnectionID, q Query)
+	// Close breaks a connection.
+	Close(id ConnectionID)
+}
+
+// CallerSink takes what callers do, as a front end has decoded it. Its methods
+// run on an event loop and may wait for a ring whose duty never waits for the
+// loops.
+type CallerSink interface {
+	// Joined tells of a caller that connected to a database.
+	Joined(id SessionID, database string)
+	// Asked brings a query.
+	Asked(id SessionID, q Query)
+	// Left tells that the caller is gone.
+	Left(id SessionID)
+}
+
+// EndpointSink takes what comes of an EndpointPort, under the same rule.
+type EndpointSink interface {
+	// Opened tells that a connection may be used.
+	Opened(id ConnectionID)
+	// Replied brings the whole reply to the last query sent.
+	Replied(id ConnectionID, r Reply)
+	// Lost tells that a connection broke or was refused, with the endpoint's
+	// code if it gave one.
+	Lost(id ConnectionID, code ReplyCode)
+}
+
+// Directory tells which endpoints have registered themselves and what the
+// operators have configured. A failed call tells nothing.
+type Directory interface {
+	// Endpoints returns all registered endpoints.
+	Endpoints(ctx context.Context) (Listing, error)
+	// Changes returns the listing changed by what happened after it, as soon
+	// as something has or when the wait ends. ErrHistory tells that the
+	// changes are no longer known.
+	Changes(ctx context.Context, since Listing) (Listing, error)
+	// Catalog returns the configuration as it stands.
+	Catalog(ctx context.Context) (Catalog, uint64, error)
+	// CatalogAfter returns the configuration once it changed after a
+	// revision, or with the same revision when the wait ends.
+	CatalogAfter(ctx context.Context, revision uint64) (Catalog, uint64, error)
+}
+
+// ErrHistory reports changes that are no longer known: list again.
+var ErrHistory = errors.New("the changes since then are no longer known")
+
+// Listing is the list of registered endpoints at a revision. It is not to be
+// changed.
+type Listing struct {
+	// Revision is the revision as of which it stood.
+	Revision uint64
+	// Endpoints are the endpoints by name.
+	Endpoints map[EndpointID]EndpointSpec
+}
+
+// WithChanges returns the listing at a later revision, with some endpoints
+// changed and others removed.
+func (l Listing) WithChanges(revision uint64, changed []EndpointSpec, removed []EndpointID) Listing {
+	l.Revision = revision
+	if len(changed) == 0 && len(removed) == 0 {
+		return l
+	}
+	l.Endpoints = maps.Clone(l.Endpoints)
+	for _, e := range changed {
+		l.Endpoints[e.ID] = e
+	}
+	for _, id := range removed {
+		delete(l.Endpoints, id)
+	}
+	return l
+}
+
+// Promoter has somebody else carry out a promotion.
+type Promoter interface {
+	// Promote makes an endpoint the primary of its group's next term. The
+	// token rises with each change of the holder. A call without an answer
+	// may have taken effect; none takes effect after the context ended and
+	// the call returned.
+	Promote(ctx context.Context, p Promotion) PromotionOutcome
+}
+
+// Promotion is one order to promote an endpoint.
+type Promotion struct {
+	// Group is the replicated database.
+	Group DatabaseName
+	// Endpoint is to lead it.
+	Endpoint EndpointID
+	// Holder is the instance that gives the order.
+	Holder InstanceID
+	// Token is the holder's fencing token.
+	Token uint64
+}
+
+// PromotionOutcome is what became of a promotion.
+type PromotionOutcome uint8
+
+// The outcomes of promotions.
+const (
+	// PromotionUnknown may have taken effect.
+	PromotionUnknown PromotionOutcome = iota
+	// PromotionDone is accepted; the endpoint leads a little later.
+	PromotionDone
+	// PromotionRefused had no effect, and won't for this endpoint.
+	PromotionRefused
+	// PromotionDeferred had no effect, and may be tried again.
+	PromotionDeferred
+)
+
+var promotionNames = [...]string{"unknown", "done", "refused", "deferred"}
+
+// String returns the name of the outcome.
+func (o PromotionOutcome) String() string {
+	if int(o) >= len(promotionNames) {
+		return "invalid"
+	}
+	return promotionNames[o]
+}
--- /dev/null
+++ b/catalog.go
@@ -0,0 +1,122 @@
+package rosemarylb
+
+import "time"
+
+// Consistency says what a route's reads have to see.
+type Consistency uint8
+
+// The consistencies.
+const (
+	// ConsistencyPrimary sees every commit acknowledged before the read.
+	ConsistencyPrimary Consistency = iota
+	// ConsistencyBounded sees what was acknowledged a stated span before it.
+	ConsistencyBounded
+	// ConsistencySession is bounded, and sees the session's own commits.
+	ConsistencySession
+)
+
+var consistencyNames = [...]string{"primary", "bounded", "session"}
+
+// String returns the name of the consistency.
+func (c Consistency) String() string {
+	if int(c) >= len(consistencyNames) {
+		return "invalid"
+	}
+	return consistencyNames[c]
+}
+
+// Route says how the callers of a database name are served.
+type Route struct {
+	// Database is the name that callers connect to.
+	Database string
+	// Group is the replicated database that serves it.
+	Group DatabaseName
+	// Consistency says what its reads have to see.
+	Consistency Consistency
+	// StalenessMillis is the age that its reads accept, in milliseconds.
+	StalenessMillis int64
+	// TimeoutMillis bounds one statement, in milliseconds.
+	TimeoutMillis int64
+	// Rank is its class of service.
+	Rank Rank
+}
+
+// Group is a replicated database as configured. Its endpoints register
+// themselves.
+type Group struct {
+	// Name names the group.
+	Name DatabaseName
+	// Connections is how many connections each endpoint takes, from all
+	// instances together.
+	Connections int
+}
+
+// Catalog is a configuration whose endpoints register themselves.
+type Catalog struct {
+	// Version orders configurations; it only rises.
+	Version uint64
+	// Routes are the routes by the names that callers connect to.
+	Routes map[string]Route
+	// Groups are the replicated databases by name.
+	Groups map[DatabaseName]Group
+	// IdleMillis is how long a transaction may stay idle, in milliseconds.
+	IdleMillis int64
+}
+
+// Supersedes reports whether the configuration replaces another one.
+func (c Catalog) Supersedes(other Catalog) bool {
+	return c.Version > other.Version
+}
+
+// Permit allows an instance to use the primary of a group until a deadline:
+// nobody else is promoted before it.
+type Permit struct {
+	// Group is the replicated database.
+	Group DatabaseName
+	// Primary is its primary.
+	Primary EndpointID
+	// Term is the primary's term.
+	Term Term
+	// AskedAt is when the instance asked for it.
+	AskedAt time.Time
+	// Until is when it ends.
+	Until time.Time
+	// Position is a position of the primary's log, zero if not told.
+	Position Position
+	// PositionAt is a time as of which Position holds every acknowledged
+	// commit.
+	PositionAt time.Time
+}
+
+// WithPosition returns the permit that also tells a position of the primary.
+func (p Permit) WithPosition(pos Position, at time.Time) Permit {
+	p.Position = pos
+	p.PositionAt = at
+	return p
+}
+
+// Covers reports whether the permit holds for a term at a time.
+func (p Permit) Covers(t Term, now time.Time) bool {
+	return p.Term == t && p.Primary != "" && now.Before(p.Until)
+}
+
+// Share is the part of an endpoint's connections that an instance may hold.
+type Share struct {
+	// Members is how many instances share them.
+	Members int
+	// Index numbers this instance among them, from 0.
+	Index int
+}
+
+// Limit returns how many of a number of connections the instance may hold, at
+// least one. The remainder goes to some instances, others for each offset.
+func (s Share) Limit(connections, offset int) int {
+	if s.Members < 1 {
+		return 1
+	}
+	limit := connections / s.Members
+	if (s.Index+offset)%s.Members < connections%s.Members {
+		limit++
+	}
+	return max(limit, 1)
+}
--- a/endpoint.go
+++ b/endpoint.go
@@ -20,6 +20,23 @@
 	Connections int
 	// Leaving is true while the endpoint is being removed from service.
 	Leaving bool
+	// Primary is true when the endpoint last said that it leads.
+	Primary bool
+	// Born rises whenever the endpoint starts anew under its name.
+	Born int64
+}
+
+// WithLeaving returns the endpoint that is being removed from service.
+func (e EndpointSpec) WithLeaving() EndpointSpec {
+	e.Leaving = true
+	return e
+}
+
+// WithPlace returns the endpoint in a region, with a limit of connections.
+func (e EndpointSpec) WithPlace(region RegionName, connections int) EndpointSpec {
+	e.Region = region
+	e.Connections = connections
+	return e
 }
 
 // EndpointState is what one probe of an endpoint told.
--- /dev/null
+++ b/internal/failover/keeping/event.go
@@ -0,0 +1,84 @@
+// Package keeping runs the keeper's duty: it carries the keeper's decisions to
+// the store, to the promoter and to endpoints, and answers the instances that
+// ask for permits.
+package keeping
+
+import (
+	"rosemarylb"
+	"rosemarylb/internal/failover/keeper"
+)
+
+// Event is what the duty takes.
+type Event interface {
+	keepingEvent()
+}
+
+// Observed brings the record as it stood in the store.
+type Observed struct {
+	// Object is the record's object, with version 0 when there is none.
+	Object rosemarylb.Object
+}
+
+// Registered brings the registered endpoints.
+type Registered struct {
+	// Endpoints are the endpoints.
+	Endpoints []rosemarylb.EndpointSpec
+}
+
+// Questioned brings an instance's question for permits.
+type Questioned struct {
+	// Report is what it has seen.
+	Report keeper.Report
+	// Answer takes the answer; it has room for one.
+	Answer chan<- Answer
+}
+
+// Answer is the answer to an instance's question.
+type Answer struct {
+	// Keeps is false when this instance does not keep.
+	Keeps bool
+	// Grants are the groups whose primaries may be used.
+	Grants []keeper.Grant
+	// Share is the asker's part of endpoints' connections.
+	Share rosemarylb.Share
+}
+
+// Retired has the keeper give the lease back.
+type Retired struct{}
+
+type written struct {
+	outcome rosemarylb.PutOutcome
+	failed  bool
+}
+
+type unread struct{}
+
+type promoted struct {
+	promotion rosemarylb.Promotion
+	outcome   rosemarylb.PromotionOutcome
+}
+
+type opened struct {
+	id rosemarylb.ConnectionID
+}
+
+type replied struct {
+	id    rosemarylb.ConnectionID
+	reply rosemarylb.Reply
+}
+
+type lost struct {
+	id   rosemarylb.ConnectionID
+	code rosemarylb.ReplyCode
+}
+
+func (Observed) keepingEvent()   {}
+func (Registered) keepingEvent() {}
+func (Questioned) keepingEvent() {}
+func (Retired) keepingEvent()    {}
+func (written) keepingEvent()    {}
+func (unread) keepingEvent()     {}
+func (promoted) keepingEvent()   {}
+func (opened) keepingEvent()     {}
+func (replied) keepingEvent()    {}
+func (lost) keepingEvent()       {}
--- /dev/null
+++ b/internal/failover/keeping/keeping.go
@@ -0,0 +1,271 @@
+package keeping
+
+import (
+	"log/slog"
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/failover/keeper"
+	"rosemarylb/internal/process/duty"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// ringCapacity is how many events may wait for the keeper.
+	ringCapacity = 4096
+	// clerkCapacity is how many calls may wait for a clerk.
+	clerkCapacity = 64
+	// tickInterval is the time between two decisions of the holder.
+	tickInterval = 20 * time.Millisecond
+	// idleInterval is that of the others.
+	idleInterval = 200 * time.Millisecond
+)
+
+var (
+	leasesTotal     = metrics.NewCounter(`rosemarylb_keeper_leases_total`)
+	promotionsTotal = metrics.NewCounter(`rosemarylb_keeper_promotions_total`)
+)
+
+// Keeping is the duty.
+type Keeping struct {
+	log    *slog.Logger
+	clock  rosemarylb.Clock
+	keeper keeper.Keeper
+	ring   *duty.Ring[Event]
+	scribe *duty.Ring[task]
+	herald *duty.Ring[rosemarylb.Promotion]
+	latest *duty.Latest[keeper.Record]
+	probes *probes
+	tickAt time.Time
+	gaveUp *duty.Latest[bool]
+}
+
+// Option changes a duty under construction.
+type Option func(*Keeping)
+
+// WithLogger sets where changes of belief are logged.
+func WithLogger(l *slog.Logger) Option {
+	return func(k *Keeping) {
+		k.log = l
+	}
+}
+
+// NewKeeping returns a duty that is not yet started. The port has to tell its
+// events to the duty.
+func NewKeeping(k keeper.Keeper, c rosemarylb.Clock, options ...Option) *Keeping {
+	n := &Keeping{
+		log:    slog.New(slog.DiscardHandler),
+		clock:  c,
+		keeper: k,
+		ring:   duty.NewRing[Event]("keeper", ringCapacity),
+		scribe: duty.NewRing[task]("keeper-store", clerkCapacity),
+		herald: duty.NewRing[rosemarylb.Promotion]("keeper-promotions", clerkCapacity),
+		latest: duty.NewLatest(keeper.Record{}),
+		probes: newProbes(),
+		tickAt: time.Unix(1, 0),
+		gaveUp: duty.NewLatest(false),
+	}
+	for _, o := range options {
+		o(n)
+	}
+	return n
+}
+
+// Ring returns the ring that feeds the duty.
+func (n *Keeping) Ring() *duty.Ring[Event] {
+	return n.ring
+}
+
+// Record returns the record as last seen, for other duties.
+func (n *Keeping) Record() *duty.Latest[keeper.Record] {
+	return n.latest
+}
+
+// GaveUp tells whether a retired keeper holds nothing any more.
+func (n *Keeping) GaveUp() *duty.Latest[bool] {
+	return n.gaveUp
+}
+
+// Start runs the duty and its clerks. The returned function stops them.
+func (n *Keeping) Start(
+	store rosemarylb.Store, promoter rosemarylb.Promoter, port rosemarylb.EndpointPort,
+) ([]*duty.Duty, func()) {
+	n.probes.port = port
+	main, stopMain := duty.StartOn[Event](n.clock, "keeper", n, n.ring)
+	writer, stopWriter := duty.StartOn[task](n.clock, "keeper-store", scribe{
+		store: store,
+		ring:  n.ring,
+	}, n.scribe)
+	herald, stopHerald := duty.StartOn[rosemarylb.Promotion](n.clock, "keeper-promotions", herald{
+		promoter: promoter,
+		ring:     n.ring,
+	}, n.herald)
+	watch, stopWatch := duty.StartOn[struct{}](n.clock, "keeper-watch", &watcher{
+		store:  store,
+		ring:   n.ring,
+		latest: n.latest,
+		at:     n.clock.Now(),
+	}, duty.NewRing[struct{}]("keeper-watch", 1))
+	return []*duty.Duty{main, writer, herald, watch}, func() {
+		stopWatch()
+		stopHerald()
+		stopWriter()
+		stopMain()
+	}
+}
+
+// Opened implements rosemarylb.EndpointSink.
+func (n *Keeping) Opened(id rosemarylb.ConnectionID) {
+	n.ring.Put(opened{
+		id: id,
+	})
+}
+
+// Replied implements rosemarylb.EndpointSink.
+func (n *Keeping) Replied(id rosemarylb.ConnectionID, r rosemarylb.Reply) {
+	n.ring.Put(replied{
+		id:    id,
+		reply: r,
+	})
+}
+
+// Lost implements rosemarylb.EndpointSink.
+func (n *Keeping) Lost(id rosemarylb.ConnectionID, code rosemarylb.ReplyCode) {
+	n.ring.Put(lost{
+		id:   id,
+		code: code,
+	})
+}
+
+// Handle implements duty.Handler.
+func (n *Keeping) Handle(now time.Time, item Event) {
+	switch e := item.(type) {
+	case Questioned:
+		n.questioned(e, now)
+		return
+	case Observed:
+		n.observed(e.Object, now)
+	case Registered:
+		n.keeper = n.keeper.WithEndpoints(e.Endpoints)
+	case Retired:
+		n.keeper = n.keeper.WithRetiring()
+	case written:
+		n.written(e, now)
+	case unread:
+		n.keeper = n.keeper.WithUnread(now)
+	case promoted:
+		n.keeper = n.keeper.WithPromoted(e.promotion, e.outcome, now)
+	case opened:
+		n.probes.opened(e.id, now)
+	case replied:
+		n.took(n.probes.replied(e, now), now)
+	case lost:
+		n.took(n.probes.lost(e, now), now)
+	}
+	n.decide(now)
+}
+
+func (n *Keeping) took(statuses []keeper.Status, now time.Time) {
+	for _, s := range statuses {
+		n.keeper = n.keeper.WithStatus(s, now)
+	}
+}
+
+func (n *Keeping) questioned(e Questioned, now time.Time) {
+	n.keeper = n.keeper.WithReport(e.Report, now)
+	grants, keeps := n.keeper.Grants(now)
+	select {
+	case e.Answer <- Answer{
+		Keeps:  keeps,
+		Grants: grants,
+		Share:  n.keeper.Share(e.Report.From),
+	}:
+	default:
+	}
+}
+
+func (n *Keeping) observed(o rosemarylb.Object, now time.Time) {
+	r, err := keeper.ParseRecord(o.Value)
+	if o.Version != 0 && err != nil {
+		n.log.Error("the keeper's record cannot be read", "revision", o.Version, "error", err)
+		return
+	}
+	if o.Version == 0 {
+		r = keeper.Record{}
+	}
+	n.keeper = n.keeper.WithObserved(r, o.Version, now)
+}
+
+func (n *Keeping) written(e written, now time.Time) {
+	switch {
+	case e.failed:
+		n.keeper = n.keeper.WithUnanswered(now)
+	case e.outcome.Written:
+		n.keeper = n.keeper.WithWritten(e.outcome.Object.Version, now)
+		n.latest.Store(n.keeper.Record())
+	default:
+		r, err := keeper.ParseRecord(e.outcome.Object.Value)
+		if err != nil {
+			n.keeper = n.keeper.WithUnanswered(now)
+			return
+		}
+		n.keeper = n.keeper.WithConflict(r, e.outcome.Object.Version, now)
+	}
+}
+
+// Tick implements duty.Handler.
+func (n *Keeping) Tick(now time.Time) {
+	n.tickAt = now.Add(idleInterval)
+	if n.keeper.Leading() {
+		n.tickAt = now.Add(tickInterval)
+	}
+	n.took(n.probes.expire(now, n.keeper.Leading()), now)
+	n.decide(now)
+}
+
+// Next implements duty.Handler.
+func (n *Keeping) Next() time.Time {
+	return n.tickAt
+}
+
+// Dump implements duty.Handler.
+func (n *Keeping) Dump() any {
+	return struct {
+		Leading bool          `json:"leading"`
+		Record  keeper.Record `json:"record"`
+	}{
+		Leading: n.keeper.Leading(),
+		Record:  n.keeper.Record(),
+	}
+}
+
+func (n *Keeping) decide(now time.Time) {
+	var d keeper.Decision
+	n.keeper, d = n.keeper.Decide(now)
+	for _, e := range d.Notes {
+		if e.Event == "lease taken" {
+			leasesTotal.Inc()
+		}
+		n.log.Info(e.Event, "group", e.Group, "endpoint", e.Endpoint, "term", e.Term, "reason", e.Reason,
+			"age-ms", e.AgeMillis, "token", n.keeper.Record().Token)
+	}
+	if d.Write != nil && !n.scribe.Offer(task{
+		write: d.Write,
+	}) {
+		n.keeper = n.keeper.WithUnanswered(now)
+	}
+	if d.Read && !n.scribe.Offer(task{}) {
+		n.keeper = n.keeper.WithUnread(now)
+	}
+	for _, p := range d.Promotions {
+		promotionsTotal.Inc()
+		if !n.herald.Offer(p) {
+			n.keeper = n.keeper.WithPromoted(p, rosemarylb.PromotionDeferred, now)
+		}
+	}
+	for _, o := range d.Orders {
+		n.probes.order(o, now)
+	}
+	n.gaveUp.Store(!n.keeper.Leading())
+}
--- /dev/null
+++ b/internal/peer/instance/permits.go
@@ -0,0 +1,133 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/failover/keeper"
+	"rosemarylb/internal/failover/keeping"
+	"rosemarylb/internal/message/link"
+	"rosemarylb/internal/process/duty"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+)
+
+// answerTimeout bounds the wait for the keeper's duty.
+const answerTimeout = 250 * time.Millisecond
+
+// permitServer answers questions for permits.
+type permitServer struct {
+	link.UnimplementedKeeperServer
+
+	clock rosemarylb.Clock
+	ring  *duty.Ring[keeping.Event]
+}
+
+// ServePermits answers other instances' questions on a listener. The returned
+// function stops it.
+func ServePermits(listener net.Listener, c rosemarylb.Clock, ring *duty.Ring[keeping.Event]) func() {
+	s := grpc.NewServer()
+	link.RegisterKeeperServer(s, &permitServer{
+		clock: c,
+		ring:  ring,
+	})
+	wait := duty.Spawn(func() {
+		_ = s.Serve(listener)
+	})
+	return func() {
+		s.Stop()
+		wait()
+	}
+}
+
+// Ask implements link.KeeperServer. It runs on a thread of the library.
+func (s *permitServer) Ask(ctx context.Context, q *link.PermitRequest) (*link.PermitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	answer := make(chan keeping.Answer, 1)
+	if !s.ring.Offer(keeping.Questioned{
+		Report: decodeReport(q, s.clock.Now()),
+		Answer: answer,
+	}) {
+		return &link.PermitReply{}, nil
+	}
+	select {
+	case a := <-answer:
+		return encodePermits(a), nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "keeper")
+	}
+}
+
+func decodeReport(q *link.PermitRequest, now time.Time) keeper.Report {
+	r := keeper.Report{
+		From: rosemarylb.InstanceID(q.GetFrom()),
+	}
+	for _, e := range q.GetEvidence() {
+		r.Seen = append(r.Seen, keeper.Evidence{
+			Group:      rosemarylb.DatabaseName(e.GetGroup()),
+			Primary:    rosemarylb.EndpointID(e.GetPrimary()),
+			AnsweredAt: before(now, e.GetAnsweredMicros()),
+			FailingAt:  before(now, e.GetFailingMicros()),
+		})
+	}
+	return r
+}
+
+// before returns the time a number of microseconds ago, the zero time for a
+// negative number.
+func before(now time.Time, micros int64) time.Time {
+	if micros < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(micros) * time.Microsecond)
+}
+
+// since returns how many microseconds ago a time was, -1 for the zero time.
+func since(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return max(now.Sub(at).Microseconds(), 0)
+}
+
+func encodePermits(a keeping.Answer) *link.PermitReply {
+	r := &link.PermitReply{
+		Keeper:  a.Keeps,
+		Members: uint32(a.Share.Members),
+		Index:   uint32(a.Share.Index),
+	}
+	for _, g := range a.Grants {
+		p := &link.GrantedPermit{
+			Group:   string(g.Group),
+			Primary: string(g.Primary),
+			Term:    uint64(g.Term),
+		}
+		if !g.Position.IsZero() {
+			p.Position = encodePosition(g.Position)
+			p.PositionMicros = g.PositionMicros
+		}
+		r.Permits = append(r.Permits, p)
+	}
+	return r
+}
+
+func decodePermits(r *link.PermitReply) []keeper.Grant {
+	var grants []keeper.Grant
+	for _, p := range r.GetPermits() {
+		g := keeper.Grant{
+			Group:          rosemarylb.DatabaseName(p.GetGroup()),
+			Primary:        rosemarylb.EndpointID(p.GetPrimary()),
+			Term:           rosemarylb.Term(p.GetTerm()),
+			PositionMicros: p.GetPositionMicros(),
+		}
+		if p.GetPosition() != nil {
+			g.Position = decodePosition(p.GetPosition())
+		}
+		grants = append(grants, g)
+	}
+	return grants
+}
--- a/internal/process/duty/duty.go
+++ b/internal/process/duty/duty.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"rosemarylb"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -36,10 +38,23 @@
 	wakes   atomic.Uint64
 }
 
+// steady is the process's own clock.
+type steady struct{}
+
+// Now implements rosemarylb.Clock.
+func (steady) Now() time.Time {
+	return time.Now()
+}
+
 // Start runs a handler on a thread of its own, fed by the given rings in
 // order of preference, at most two. The returned function stops the thread
 // and waits for it.
 func Start[T any](name string, h Handler[T], rings ...*Ring[T]) (*Duty, func()) {
+	return StartOn[T](steady{}, name, h, rings...)
+}
+
+// StartOn runs a handler like Start, with the times of another clock.
+func StartOn[T any](c rosemarylb.Clock, name string, h Handler[T], rings ...*Ring[T]) (*Duty, func()) {
 	d := &Duty{
 		name:    name,
 		inspect: make(chan chan any, inspectionCapacity),
@@ -51,6 +66,7 @@
 		second = rings[1].items
 	}
 	l := &loop[T]{
+		clock:   c,
 		handler: h,
 		first:   rings[0].items,
 		second:  second,
@@ -132,6 +148,7 @@
 }
 
 type loop[T any] struct {
+	clock   rosemarylb.Clock
 	handler Handler[T]
 	first   chan T
 	second  chan T
@@ -149,18 +166,18 @@
 		l.arm()
 		select {
 		case item := <-l.first:
-			l.handler.Handle(time.Now(), item)
+			l.handler.Handle(l.clock.Now(), item)
 			continue
 		default:
 		}
 		select {
 		case item := <-l.first:
-			l.handler.Handle(time.Now(), item)
+			l.handler.Handle(l.clock.Now(), item)
 		case item := <-l.second:
-			l.handler.Handle(time.Now(), item)
-		case now := <-l.timer.C:
+			l.handler.Handle(l.clock.Now(), item)
+		case <-l.timer.C:
 			l.wakes.Add(1)
-			l.tick(now)
+			l.tick(l.clock.Now())
 		case answer := <-l.inspect:
 			answer <- l.handler.Dump()
 		case <-l.stop:
@@ -188,5 +205,5 @@
 		return
 	}
 	l.armed = next
-	l.timer.Reset(time.Until(next))
+	l.timer.Reset(next.Sub(l.clock.Now()))
 }
--- a/internal/shell/command/run.go
+++ b/internal/shell/command/run.go
@@ -54,6 +54,7 @@
 
 type root struct {
 	Serve   serveCommand   `command:"serve" description:"Run one instance of the proxy"`
+	Host    hostCommand    `command:"host" description:"Run one instance on the users' platform"`
 	Config  configCommand  `command:"config" description:"Check, render, publish and follow the configuration"`
 	Dump    dumpCommand    `command:"dump" description:"Print the state of an instance as JSON"`
 	Drain   drainCommand   `command:"drain" description:"Shut an instance down gracefully"`
@@ -88,6 +89,7 @@
 func newRoot(s *shell) *root {
 	r := &root{}
 	r.Serve.shell = s
+	r.Host.shell = s
 	r.Config.Check.shell = s
 	r.Config.Render.shell = s
 	r.Config.Apply.shell = s
--- /dev/null
+++ b/internal/traffic/proxy/proxy.go
@@ -0,0 +1,389 @@
+// Package proxy serves the queries of callers on connections to endpoints: it
+// keeps the sessions, chooses where each query runs, and settles its answer.
+// It knows no protocol; ports carry queries and replies.
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/traffic/dialogue"
+	"rosemarylb/internal/traffic/queue"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// ringCapacity is how many events may wait for the proxy.
+	ringCapacity = 16384
+	// tickBusy and tickIdle are the times between two looks at deadlines,
+	// with queries under way and without.
+	tickBusy = 5 * time.Millisecond
+	tickIdle = 50 * time.Millisecond
+	// pipelineLimit is how many queries of one session may wait.
+	pipelineLimit = 64
+	// queueLimit is how many queries of a rank may wait for a group.
+	queueLimit = 512
+)
+
+var (
+	sessionsTotal = metrics.NewCounter(`rosemarylb_proxy_sessions_total`)
+	queryTime     = metrics.NewHistogram(`rosemarylb_proxy_query_seconds`)
+	repeatsTotal  = metrics.NewCounter(`rosemarylb_proxy_repeats_total`)
+)
+
+// Proxy is the duty that serves callers.
+type Proxy struct {
+	log       *slog.Logger
+	callers   rosemarylb.CallerPort
+	endpoints rosemarylb.EndpointPort
+	region    rosemarylb.RegionName
+	domain    rosemarylb.DomainName
+	ring      *duty.Ring[Event]
+	status    *duty.Latest[Status]
+
+	catalog rosemarylb.Catalog
+	share   rosemarylb.Share
+	groups  map[rosemarylb.DatabaseName]*group
+	lanes   map[rosemarylb.EndpointID]*lane
+	links   map[rosemarylb.ConnectionID]*link
+	seats   map[rosemarylb.SessionID]*seat
+	known   bool
+	number  uint64
+	tickAt  time.Time
+	jobs    int
+	drain   Drained
+}
+
+// Status is what other duties read of the proxy.
+type Status struct {
+	// Ready is true once the proxy can serve.
+	Ready bool
+	// Empty is true when no session is open.
+	Empty bool
+	// Sights are what it has seen of primaries.
+	Sights []Sight
+}
+
+// Option changes a proxy under construction.
+type Option func(*Proxy)
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l *slog.Logger) Option {
+	return func(p *Proxy) {
+		p.log = l
+	}
+}
+
+// WithPlace sets where the instance stands.
+func WithPlace(region rosemarylb.RegionName, domain rosemarylb.DomainName) Option {
+	return func(p *Proxy) {
+		p.region = region
+		p.domain = domain
+	}
+}
+
+// NewProxy returns a proxy that is not yet started.
+func NewProxy(callers rosemarylb.CallerPort, endpoints rosemarylb.EndpointPort, options ...Option) *Proxy {
+	p := &Proxy{
+		log:       slog.New(slog.DiscardHandler),
+		callers:   callers,
+		endpoints: endpoints,
+		ring:      duty.NewRing[Event]("proxy", ringCapacity),
+		status: duty.NewLatest(Status{
+			Empty: true,
+		}),
+		share: rosemarylb.Share{
+			Members: 1,
+		},
+		groups: map[rosemarylb.DatabaseName]*group{},
+		lanes:  map[rosemarylb.EndpointID]*lane{},
+		links:  map[rosemarylb.ConnectionID]*link{},
+		seats:  map[rosemarylb.SessionID]*seat{},
+		tickAt: time.Unix(1, 0),
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Ring returns the ring that feeds the proxy.
+func (p *Proxy) Ring() *duty.Ring[Event] {
+	return p.ring
+}
+
+// Status returns what other duties may read.
+func (p *Proxy) Status() *duty.Latest[Status] {
+	return p.status
+}
+
+// Start runs the proxy by a clock. The returned function stops it.
+func (p *Proxy) Start(c rosemarylb.Clock) (*duty.Duty, func()) {
+	return duty.StartOn[Event](c, "proxy", p, p.ring)
+}
+
+// Opened implements rosemarylb.EndpointSink.
+func (p *Proxy) Opened(id rosemarylb.ConnectionID) {
+	p.ring.Put(Opened{
+		Connection: id,
+	})
+}
+
+// Replied implements rosemarylb.EndpointSink.
+func (p *Proxy) Replied(id rosemarylb.ConnectionID, r rosemarylb.Reply) {
+	p.ring.Put(Replied{
+		Connection: id,
+		Reply:      r,
+	})
+}
+
+// Lost implements rosemarylb.EndpointSink.
+func (p *Proxy) Lost(id rosemarylb.ConnectionID, code rosemarylb.ReplyCode) {
+	p.ring.Put(Lost{
+		Connection: id,
+		Code:       code,
+	})
+}
+
+// Joined implements rosemarylb.CallerSink.
+func (p *Proxy) Joined(id rosemarylb.SessionID, database string) {
+	p.ring.Put(Joined{
+		Session:  id,
+		Database: database,
+	})
+}
+
+// Asked implements rosemarylb.CallerSink.
+func (p *Proxy) Asked(id rosemarylb.SessionID, q rosemarylb.Query) {
+	p.ring.Put(Asked{
+		Session: id,
+		Query:   q,
+	})
+}
+
+// Left implements rosemarylb.CallerSink.
+func (p *Proxy) Left(id rosemarylb.SessionID) {
+	p.ring.Put(Left{
+		Session: id,
+	})
+}
+
+// Handle implements duty.Handler.
+func (p *Proxy) Handle(now time.Time, item Event) {
+	switch e := item.(type) {
+	case Asked:
+		p.asked(e, now)
+	case Replied:
+		p.replied(e, now)
+	case Joined:
+		p.joined(e, now)
+	case Left:
+		p.left(e, now)
+	case Opened:
+		p.opened(e, now)
+	case Lost:
+		p.lost(e, now)
+	case Registered:
+		p.registered(e, now)
+	case Configured:
+		p.configured(e)
+	case Permitted:
+		p.permitted(e, now)
+	case Shared:
+		p.share = e.Share
+	case Drained:
+		p.drain = e
+		p.log.Info("drain", "sessions", len(p.seats))
+	}
+}
+
+// Next implements duty.Handler.
+func (p *Proxy) Next() time.Time {
+	return p.tickAt
+}
+
+// Tick implements duty.Handler.
+func (p *Proxy) Tick(now time.Time) {
+	p.tickAt = now.Add(tickIdle)
+	if p.jobs > 0 {
+		p.tickAt = now.Add(tickBusy)
+	}
+	for _, g := range p.groups {
+		p.expire(g, now)
+		p.dispatch(g, now)
+	}
+	p.expireLinks(now)
+	if !p.drain.CloseAt.IsZero() {
+		p.closeSeats(now)
+	}
+	p.publish()
+}
+
+func (p *Proxy) publish() {
+	s := Status{
+		Ready: p.ready(),
+		Empty: len(p.seats) == 0,
+	}
+	for _, g := range p.groups {
+		if g.sight.Primary != "" {
+			s.Sights = append(s.Sights, g.sight)
+		}
+	}
+	p.status.Store(s)
+}
+
+// ready reports whether every group's endpoints and primary were known once.
+func (p *Proxy) ready() bool {
+	if p.catalog.Version == 0 || !p.known || !p.drain.CloseAt.IsZero() {
+		return false
+	}
+	for name := range p.catalog.Groups {
+		if g, found := p.groups[name]; found && g.permit.Primary != "" {
+			return true
+		}
+	}
+	return len(p.catalog.Groups) == 0
+}
+
+// group returns a group, made at its first use.
+func (p *Proxy) group(name rosemarylb.DatabaseName) *group {
+	if g, found := p.groups[name]; found {
+		return g
+	}
+	g := &group{
+		name: name,
+		toLead: queue.NewShares(queue.WithLimit(queueLimit),
+			queue.WithShares(leastShares)),
+		toRead: queue.NewShares(queue.WithLimit(queueLimit),
+			queue.WithShares(leastShares)),
+		jobs: map[uint64]*job{},
+		sight: Sight{
+			Group: name,
+		},
+	}
+	p.groups[name] = g
+	return g
+}
+
+// leastShares is the least part of the service time that each rank keeps, in
+// percent.
+var leastShares = [rosemarylb.RankCount]int{0, 10, 10}
+
+func (p *Proxy) configured(e Configured) {
+	if !e.Catalog.Supersedes(p.catalog) {
+		return
+	}
+	p.catalog = e.Catalog
+	for name := range e.Catalog.Groups {
+		p.group(name)
+	}
+	for _, l := range p.lanes {
+		l.spec = l.spec.WithPlace(l.spec.Region, e.Catalog.Groups[l.group.name].Connections)
+	}
+	p.log.Info("configuration in force", "version", e.Catalog.Version, "routes", len(e.Catalog.Routes))
+}
+
+func (p *Proxy) joined(e Joined, now time.Time) {
+	if _, found := p.catalog.Routes[e.Database]; !found {
+		p.log.Info("session refused", "session", e.Session, "database", e.Database,
+			"version", p.catalog.Version, "reason", "no-database")
+		p.callers.Refuse(e.Session, rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
+		return
+	}
+	if p.closesIdle(now) {
+		p.callers.Refuse(e.Session, rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance shuts down"))
+		return
+	}
+	sessionsTotal.Inc()
+	p.seats[e.Session] = &seat{
+		dialogue: dialogue.NewDialogue(e.Session, e.Database),
+		idleFrom: now,
+	}
+	p.callers.Welcome(e.Session)
+}
+
+func (p *Proxy) left(e Left, now time.Time) {
+	s, found := p.seats[e.Session]
+	if !found {
+		return
+	}
+	delete(p.seats, e.Session)
+	j := s.job
+	s.job = nil
+	if j != nil && j.link == nil {
+		p.forget(j)
+	}
+	if s.link != nil && s.link.state == linkLeased {
+		p.clean(s.link, now)
+	}
+}
+
+// asked takes a query of a session; those that come before an answer wait.
+func (p *Proxy) asked(e Asked, now time.Time) {
+	s, found := p.seats[e.Session]
+	if !found {
+		return
+	}
+	if s.job == nil && len(s.waiting) == 0 {
+		p.begin(s, e.Query, now)
+		return
+	}
+	if len(s.waiting) >= pipelineLimit {
+		p.hangUp(s, now)
+		return
+	}
+	s.waiting = append(s.waiting, e.Query)
+}
+
+// begin answers a query itself or sends it on its way.
+func (p *Proxy) begin(s *seat, q rosemarylb.Query, now time.Time) {
+	if s.dialogue.State() == rosemarylb.TransactionNone {
+		route, found := p.catalog.Routes[s.dialogue.Database()]
+		if !found {
+			p.callers.Answer(s.dialogue.ID(), rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
+			return
+		}
+		s.route = route
+	}
+	d, v := s.dialogue.WithQuery(q)
+	s.dialogue = d
+	s.idleFrom = now
+	if v.Release {
+		p.release(s, now)
+	}
+	if !v.Run {
+		if v.Reply.Code != rosemarylb.ReplyDone {
+			p.log.Info("query refused", "id", q.ID, "kind", q.Kind.String(), "code", v.Reply.Code.String(),
+				"state", d.State().String())
+		}
+		p.callers.Answer(d.ID(), v.Reply)
+		return
+	}
+	p.number++
+	j := newJob(p.number, s, v.Query, now)
+	s.job = j
+	p.jobs++
+	if p.tickAt.After(now.Add(tickBusy)) {
+		p.tickAt = now.Add(tickBusy)
+	}
+	p.start(j, now)
+}
+
+// release gives up the connection of a transaction that has ended.
+func (p *Proxy) release(s *seat, now time.Time) {
+	l := s.link
+	if l == nil {
+		return
+	}
+	p.clean(l, now)
+}
+
+func (p *Proxy) hangUp(s *seat, now time.Time) {
+	p.callers.Close(s.dialogue.ID())
+	p.left(Left{
+		Session: s.dialogue.ID(),
+	}, now)
+}
--- /dev/null
+++ b/internal/traffic/proxy/run.go
@@ -0,0 +1,265 @@
+package proxy
+
+import (
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/traffic/dialogue"
+)
+
+// run sends a query on a connection, after what has to be laid onto it.
+func (p *Proxy) run(j *job, k *link, now time.Time) {
+	j.attempts++
+	j.link = k
+	j.sent = false
+	j.term = 0
+	k.seat = nil
+	j.seat.link = nil
+	g := k.lane.group
+	leads := k.lane.spec.ID == g.permit.Primary
+	if leads {
+		j.term = g.permit.Term
+	}
+	k.state = linkBusy
+	k.job = j
+	k.until = time.Time{}
+	j.steps = k.prelude(j)
+	query := j.query
+	var wait rosemarylb.Position
+	if !leads && (j.begin || !j.inside) {
+		wait, _ = g.samples.Required(j.asOf, j.seat.dialogue.Floor())
+	}
+	if j.begin {
+		kind := rosemarylb.QueryBegin
+		if j.seat.dialogue.ReadOnly() {
+			kind = rosemarylb.QueryBeginRead
+		}
+		j.steps = append(j.steps, rosemarylb.Query{
+			Kind: kind,
+			Wait: wait,
+		})
+	} else {
+		query = query.WithWait(wait)
+	}
+	j.steps = append(j.steps, query)
+	if j.inside && !j.begin {
+		// The transaction keeps the term that it began in.
+		j.term = k.term
+	}
+	p.step(j, now)
+}
+
+// step sends the next step of a query. From the last one on it may have had
+// an effect.
+func (p *Proxy) step(j *job, now time.Time) {
+	q := j.steps[0]
+	j.sentAt = now
+	j.sent = len(j.steps) == 1
+	p.endpoints.Send(j.link.id, q)
+}
+
+// replied takes an endpoint's reply to the step under way.
+func (p *Proxy) replied(e Replied, now time.Time) {
+	k, found := p.links[e.Connection]
+	if !found {
+		return
+	}
+	if k.state == linkCleaning {
+		if e.Reply.Code != rosemarylb.ReplyDone || e.Reply.State != rosemarylb.TransactionNone {
+			p.drop(k)
+			return
+		}
+		p.free(k, now)
+		return
+	}
+	j := k.job
+	if k.state != linkBusy || j == nil {
+		// A reply that nothing was asked for: the connection is out of step.
+		p.drop(k)
+		return
+	}
+	p.observe(k, j, e.Reply, now)
+	if len(j.steps) > 1 {
+		p.prepared(j, k, e.Reply, now)
+		return
+	}
+	p.answered(j, k, e.Reply, now)
+}
+
+// observe learns from a reply: positions of the primary and its life.
+func (p *Proxy) observe(k *link, j *job, r rosemarylb.Reply, now time.Time) {
+	g := k.lane.group
+	if k.lane.spec.ID != g.permit.Primary || r.Code == rosemarylb.ReplyReadOnly {
+		return
+	}
+	g.sight = g.sight.withAnswer(k.lane.spec.ID, j.sentAt)
+	if g.permit.Covers(r.Position.Term, now) {
+		g.samples = g.samples.WithSample(sample(j.sentAt, r.Position))
+	}
+}
+
+// prepared takes the reply to a step before the query itself.
+func (p *Proxy) prepared(j *job, k *link, r rosemarylb.Reply, now time.Time) {
+	step := j.steps[0]
+	if r.Code != rosemarylb.ReplyDone {
+		j.link = nil
+		k.job = nil
+		if step.Kind == rosemarylb.QueryBegin || step.Kind == rosemarylb.QueryBeginRead {
+			p.again(j, k.lane, r.Code, now)
+			p.settleLink(k, r.State, now)
+			return
+		}
+		p.drop(k)
+		p.again(j, k.lane, rosemarylb.ReplyAborted, now)
+		return
+	}
+	k.laid(step)
+	k.key = dialogue.Key(k.values)
+	if step.Kind == rosemarylb.QueryBegin || step.Kind == rosemarylb.QueryBeginRead {
+		k.term = j.term
+		if j.orphan() {
+			k.job = nil
+			p.jobs--
+			p.clean(k, now)
+			return
+		}
+	}
+	j.steps = j.steps[1:]
+	p.step(j, now)
+}
+
+// answered takes the reply to the query itself.
+func (p *Proxy) answered(j *job, k *link, r rosemarylb.Reply, now time.Time) {
+	l := k.lane
+	if r.Code == rosemarylb.ReplyDone {
+		l.pace = l.pace.withAnswer(now.Sub(j.sentAt))
+	}
+	q := &l.group.toRead
+	if j.primary {
+		q = &l.group.toLead
+	}
+	*q = (*q).WithServed(j.route.Rank, now.Sub(j.sentAt)).WithService(queueSettings, p.slots(l.group, j.primary))
+	if r.Code == rosemarylb.ReplyNoStatement {
+		delete(k.prepared, j.query.Name)
+	}
+	if j.orphan() {
+		p.jobs--
+		k.job = nil
+		p.settleLink(k, r.State, now)
+		return
+	}
+	if p.mayRepeat(j, r.Code, now) {
+		j.link = nil
+		k.job = nil
+		p.again(j, l, r.Code, now)
+		p.settleLink(k, r.State, now)
+		return
+	}
+	j.link = nil
+	k.job = nil
+	p.keepLink(j, k, r, now)
+	if j.term != 0 && !l.group.permit.Covers(j.term, now) {
+		l.group.held = append(l.group.held, held{
+			job:   j,
+			reply: r,
+			at:    now,
+		})
+		return
+	}
+	p.deliver(j, r, now)
+}
+
+// keepLink returns a connection to its pool, or keeps it for the transaction.
+func (p *Proxy) keepLink(j *job, k *link, r rosemarylb.Reply, now time.Time) {
+	stays := j.inside && r.State == rosemarylb.TransactionOpen && j.query.Kind != rosemarylb.QueryCommit
+	if !stays {
+		if k.seat != nil {
+			k.seat.link = nil
+			k.seat = nil
+		}
+		p.settleLink(k, r.State, now)
+		return
+	}
+	k.state = linkLeased
+	k.seat = j.seat
+	k.until = now.Add(p.idleLimit())
+	j.seat.link = k
+	j.seat.dialogue = j.seat.dialogue.WithBegun()
+}
+
+// settleLink frees a connection, after a roll back if a transaction is open.
+func (p *Proxy) settleLink(k *link, s rosemarylb.TransactionState, now time.Time) {
+	if s == rosemarylb.TransactionNone {
+		p.free(k, now)
+		return
+	}
+	p.clean(k, now)
+}
+
+// idleLimit is how long a transaction may stay idle.
+func (p *Proxy) idleLimit() time.Duration {
+	return time.Duration(p.catalog.IdleMillis) * time.Millisecond
+}
+
+// mayRepeat reports whether a query is tried again instead of answered: it
+// had no effect, nothing of its transaction was told, and time is left.
+func (p *Proxy) mayRepeat(j *job, code rosemarylb.ReplyCode, now time.Time) bool {
+	if code == rosemarylb.ReplyDone || j.attempts >= attemptLimit || !now.Before(j.deadline) {
+		return false
+	}
+	if j.inside && !j.begin {
+		return false
+	}
+	if code.NotRun() || code == rosemarylb.ReplyAborted {
+		return true
+	}
+	return false
+}
+
+const (
+	// busyPause is the wait after an endpoint was full.
+	busyPause = 15 * time.Millisecond
+	// demotedPause is the wait after the primary refused a write, until the
+	// keeper tells of another.
+	demotedPause = 40 * time.Millisecond
+)
+
+// again has a query that had no effect wait for another try.
+func (p *Proxy) again(j *job, l *lane, code rosemarylb.ReplyCode, now time.Time) {
+	if j.orphan() {
+		p.jobs--
+		return
+	}
+	repeatsTotal.Inc()
+	g := l.group
+	pause := time.Duration(0)
+	switch code {
+	case rosemarylb.ReplyBehind:
+		l.pace = l.pace.withBehind()
+		l.avoidTo = now.Add(l.pace.behind)
+		j.avoid = append(j.avoid, l.spec.ID)
+	case rosemarylb.ReplyBusy:
+		pause = busyPause
+		l.avoidTo = now.Add(busyPause)
+	case rosemarylb.ReplyReadOnly:
+		pause = demotedPause
+		g.sight = g.sight.withFailure(l.spec.ID, now)
+	case rosemarylb.ReplyNoStatement:
+	default:
+		pause = busyPause
+		j.avoid = append(j.avoid, l.spec.ID)
+	}
+	p.log.Info("query repeated", "id", j.query.ID, "kind", j.query.Kind.String(), "endpoint", l.spec.ID,
+		"code", code.String(), "attempt", j.attempts, "age-ms", now.Sub(j.arrivedAt).Milliseconds())
+	if j.attempts >= attemptLimit || !now.Before(j.deadline) {
+		p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: no endpoint took it"), now)
+		return
+	}
+	if pause == 0 {
+		g.jobs[j.number] = j
+		delete(g.jobs, j.number)
+		p.enqueue(g, j, now)
+		return
+	}
+	p.park(g, j, now.Add(pause))
+}
--- /dev/null
+++ b/internal/traffic/proxy/settle.go
@@ -0,0 +1,232 @@
+package proxy
+
+import (
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/traffic/freshness"
+)
+
+// queueSettings are the limits of the queues that callers wait in.
+var queueSettings = rosemarylb.Service{
+	Shares:     leastShares,
+	QueueLimit: queueLimit,
+}
+
+func sample(at time.Time, pos rosemarylb.Position) freshness.Sample {
+	return freshness.Sample{
+		At:       at,
+		Position: pos,
+	}
+}
+
+// slots returns how many queries of a queue can run at the same time.
+func (p *Proxy) slots(g *group, primary bool) int {
+	n := 0
+	for _, l := range g.lanes {
+		if primary && l.spec.ID != g.permit.Primary {
+			continue
+		}
+		n += min(p.limit(l), max(l.spec.Slots, 1))
+	}
+	return max(n, 1)
+}
+
+// deliver gives the caller an endpoint's reply.
+func (p *Proxy) deliver(j *job, r rosemarylb.Reply, now time.Time) {
+	s := j.seat
+	d := s.dialogue
+	if r.Code == rosemarylb.ReplyDone && j.query.MayCommit(j.inside) && j.term != 0 {
+		d = d.WithFloor(r.Position)
+	}
+	switch {
+	case !j.inside || j.query.Kind == rosemarylb.QueryCommit:
+		d = d.WithState(rosemarylb.TransactionNone)
+	case r.State != rosemarylb.TransactionOpen:
+		d = d.WithState(rosemarylb.TransactionFailed)
+	default:
+		d = d.WithAnswered()
+	}
+	s.dialogue = d
+	p.finish(j, r, now)
+}
+
+// finish answers a query in the state that its session is in.
+func (p *Proxy) finish(j *job, r rosemarylb.Reply, now time.Time) {
+	s := j.seat
+	p.jobs--
+	if j.orphan() {
+		return
+	}
+	s.job = nil
+	if r.Code != rosemarylb.ReplyDone {
+		p.finishRefused(j, r)
+	}
+	queryTime.Update(now.Sub(j.arrivedAt).Seconds())
+	s.idleFrom = now
+	p.callers.Answer(s.dialogue.ID(), r.WithState(s.dialogue.State()))
+	p.following(s, now)
+}
+
+// finishRefused ends the transaction of a query that was not answered, and
+// notes why.
+func (p *Proxy) finishRefused(j *job, r rosemarylb.Reply) {
+	s := j.seat
+	if s.dialogue.State() == rosemarylb.TransactionOpen {
+		next := rosemarylb.TransactionFailed
+		if j.query.Kind == rosemarylb.QueryCommit {
+			next = rosemarylb.TransactionNone
+		}
+		s.dialogue = s.dialogue.WithState(next)
+	}
+	g := p.group(j.route.Group)
+	p.log.Info("query failed", "id", j.query.ID, "kind", j.query.Kind.String(), "code", r.Code.String(),
+		"reason", r.Text, "attempts", j.attempts, "sent", j.sent, "primary", g.permit.Primary,
+		"term", g.permit.Term, "group", g.name, "took-us", 0)
+}
+
+// following starts the next query that a session sent meanwhile.
+func (p *Proxy) following(s *seat, now time.Time) {
+	for s.job == nil && len(s.waiting) > 0 {
+		q := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		p.begin(s, q, now)
+	}
+}
+
+// failTransaction answers a query whose transaction is rolled back.
+func (p *Proxy) failTransaction(j *job, text string, now time.Time) {
+	p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyAborted, text), now)
+}
+
+// broken settles a query whose connection is gone.
+func (p *Proxy) broken(j *job, now time.Time) {
+	k := j.link
+	j.link = nil
+	k.job = nil
+	if j.orphan() {
+		p.jobs--
+		return
+	}
+	if !j.sent || j.onlyReads() && (!j.inside || j.begin) {
+		if !j.inside || j.begin {
+			p.again(j, k.lane, rosemarylb.ReplyAborted, now)
+			return
+		}
+	}
+	p.unanswered(j, now)
+}
+
+// unanswered gives the outcome of a query that was sent and not answered.
+func (p *Proxy) unanswered(j *job, now time.Time) {
+	if j.sent && j.query.MayCommit(j.inside) {
+		p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyUnknown, "sent, and the answer was lost"), now)
+		return
+	}
+	if j.inside {
+		p.failTransaction(j, "the endpoint was lost within the transaction", now)
+		return
+	}
+	p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyAborted, "no endpoint answered in time"), now)
+}
+
+// permitted takes permits, and gives out the answers that they cover.
+func (p *Proxy) permitted(e Permitted, now time.Time) {
+	for _, n := range e.Permits {
+		g := p.group(n.Group)
+		if n.Term < g.permit.Term {
+			continue
+		}
+		if n.Term > g.permit.Term || n.Primary != g.permit.Primary {
+			p.log.Info("primary changed", "group", n.Group, "primary", n.Primary, "term", n.Term,
+				"before", g.permit.Primary, "before-term", g.permit.Term)
+		}
+		if n.Until.Before(g.permit.Until) && n.Term == g.permit.Term {
+			n.Until = g.permit.Until
+		}
+		g.permit = n
+		if n.Position.Term == n.Term && !n.PositionAt.IsZero() {
+			g.samples = g.samples.WithSample(sample(n.PositionAt, n.Position))
+		}
+		p.recheck(g, now)
+		p.dispatch(g, now)
+	}
+	p.publish()
+}
+
+// recheck settles the answers that waited for a permit.
+func (p *Proxy) recheck(g *group, now time.Time) {
+	waiting := g.held
+	g.held = nil
+	for _, h := range waiting {
+		switch {
+		case h.job.orphan():
+			p.jobs--
+		case g.permit.Term == h.job.term && !g.permit.AskedAt.Before(h.at):
+			p.deliver(h.job, h.reply, now)
+		case g.permit.Term > h.job.term || !now.Before(h.job.deadline):
+			p.unconfirmed(h, now)
+		default:
+			g.held = append(g.held, h)
+		}
+	}
+}
+
+// unconfirmed settles an answer of a primary that may have been replaced
+// before it was given.
+func (p *Proxy) unconfirmed(h held, now time.Time) {
+	j := h.job
+	p.log.Info("answer not confirmed", "id", j.query.ID, "kind", j.query.Kind.String(), "term", j.term,
+		"age-ms", now.Sub(h.at).Milliseconds())
+	if h.reply.Code != rosemarylb.ReplyDone && !j.query.MayCommit(j.inside) {
+		p.deliver(j, h.reply, now)
+		return
+	}
+	s := j.seat
+	if s.link != nil {
+		p.clean(s.link, now)
+	}
+	if !j.inside && j.onlyReads() && now.Before(j.deadline) {
+		p.enqueue(p.group(j.route.Group), j, now)
+		return
+	}
+	p.unanswered(j, now)
+}
+
+// expire settles everything of a group whose deadline has passed.
+func (p *Proxy) expire(g *group, now time.Time) {
+	var late []rosemarylb.Request
+	g.toLead, late = g.toLead.WithoutExpired(now)
+	p.refuseAll(g, late, now)
+	g.toRead, late = g.toRead.WithoutExpired(now)
+	p.refuseAll(g, late, now)
+	p.recheck(g, now)
+	for _, l := range g.lanes {
+		for _, k := range l.links {
+			if k.state == linkBusy && k.job != nil && now.After(k.job.deadline) {
+				p.overdue(k, now)
+			}
+		}
+	}
+}
+
+func (p *Proxy) refuseAll(g *group, late []rosemarylb.Request, now time.Time) {
+	for _, r := range late {
+		p.refuse(g, r, rosemarylb.ReasonDeadline, now)
+	}
+}
+
+// overdue breaks a connection that has been silent past a query's deadline.
+func (p *Proxy) overdue(k *link, now time.Time) {
+	j := k.job
+	p.endpoints.Close(k.id)
+	p.failing(k.lane, now)
+	p.remove(k)
+	j.link = nil
+	k.job = nil
+	if j.orphan() {
+		p.jobs--
+		return
+	}
+	p.unanswered(j, now)
+}
--- /dev/null
+++ b/internal/traffic/proxy/state.go
@@ -0,0 +1,173 @@
+package proxy
+
+import (
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/traffic/dialogue"
+	"rosemarylb/internal/traffic/freshness"
+)
+
+// seat is a caller's session and what it waits for.
+type seat struct {
+	dialogue dialogue.Dialogue
+	route    rosemarylb.Route
+	job      *job
+	waiting  []rosemarylb.Query
+	link     *link
+	idleFrom time.Time
+}
+
+// job is one query on its way through an endpoint.
+type job struct {
+	number    uint64
+	seat      *seat
+	route     rosemarylb.Route
+	query     rosemarylb.Query
+	primary   bool
+	begin     bool
+	inside    bool
+	arrivedAt time.Time
+	asOf      time.Time
+	deadline  time.Time
+	attempts  int
+	parkedTo  time.Time
+	avoid     []rosemarylb.EndpointID
+	link      *link
+	steps     []rosemarylb.Query
+	sent      bool
+	sentAt    time.Time
+	term      rosemarylb.Term
+}
+
+// orphan reports whether nobody waits for the job any more.
+func (j *job) orphan() bool {
+	return j.seat.job != j
+}
+
+// onlyReads reports whether running the job twice does no harm.
+func (j *job) onlyReads() bool {
+	return !j.query.Writes && j.query.Kind != rosemarylb.QueryCommit
+}
+
+// avoids reports whether an endpoint could not serve the job before.
+func (j *job) avoids(id rosemarylb.EndpointID) bool {
+	for _, a := range j.avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+// linkState is what a connection is doing.
+type linkState uint8
+
+const (
+	linkOpening linkState = iota
+	linkIdle
+	linkBusy
+	linkLeased
+	linkCleaning
+)
+
+var linkStateNames = [...]string{"opening", "idle", "busy", "leased", "cleaning"}
+
+// String returns the name of the state.
+func (s linkState) String() string {
+	return linkStateNames[s]
+}
+
+// link is a connection to an endpoint and what was laid onto it.
+type link struct {
+	id       rosemarylb.ConnectionID
+	lane     *lane
+	state    linkState
+	until    time.Time
+	job      *job
+	seat     *seat
+	values   map[string]string
+	key      string
+	prepared map[string]struct{}
+	term     rosemarylb.Term
+	closing  bool
+}
+
+// lane is one endpoint and the connections to it.
+type lane struct {
+	spec      rosemarylb.EndpointSpec
+	group     *group
+	links     []*link
+	gone      bool
+	openAt    time.Time
+	avoidTo   time.Time
+	pace      pace
+	openFails int
+	softLimit int
+	softUntil time.Time
+}
+
+func (l *lane) count(s linkState) int {
+	n := 0
+	for _, k := range l.links {
+		if k.state == s {
+			n++
+		}
+	}
+	return n
+}
+
+// group is a replicated database.
+type group struct {
+	name    rosemarylb.DatabaseName
+	permit  rosemarylb.Permit
+	samples freshness.Samples
+	lanes   []*lane
+	toLead  rosemarylb.Queue
+	toRead  rosemarylb.Queue
+	jobs    map[uint64]*job
+	parked  []*job
+	held    []held
+	sight   Sight
+}
+
+// held is the answer of a primary that waits for a permit that covers it.
+type held struct {
+	job   *job
+	reply rosemarylb.Reply
+	at    time.Time
+}
+
+// Sight is what this instance has seen of a group's primary.
+type Sight struct {
+	// Group is the replicated database.
+	Group rosemarylb.DatabaseName
+	// Primary is the endpoint that it is about.
+	Primary rosemarylb.EndpointID
+	// AnsweredAt is when the last query that was answered was sent.
+	AnsweredAt time.Time
+	// FailingAt is when the first failure after that was seen.
+	FailingAt time.Time
+}
+
+func (s Sight) withAnswer(primary rosemarylb.EndpointID, sentAt time.Time) Sight {
+	if s.Primary == primary && !sentAt.After(s.AnsweredAt) {
+		return s
+	}
+	s.Primary = primary
+	s.AnsweredAt = sentAt
+	s.FailingAt = time.Time{}
+	return s
+}
+
+func (s Sight) withFailure(primary rosemarylb.EndpointID, now time.Time) Sight {
+	if s.Primary != primary {
+		s.Primary = primary
+		s.AnsweredAt = time.Time{}
+		s.FailingAt = time.Time{}
+	}
+	if s.FailingAt.IsZero() {
+		s.FailingAt = now
+	}
+	return s
+}
