Have a keeper that the store refuses give its lease to a peer

Change: instances tell with each question when the store last answered them. A holder whose write has been unanswered for 700 ms, while the store answers others, stops giving permits and tells its token as released; an asker then takes the lease by the ordinary conditional write. A late answer to a write of the given-up lease no longer counts. While the store answers nobody, the holder keeps the lease. A successor of a holder that released does not wait for late promotions.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -25,6 +25,12 @@
 	// promotionTravel is how long a successor waits before its first promotion
 	// so that no order of its predecessor arrives after it.
 	promotionTravel = PromotionTimeout + 500*time.Millisecond
+	// yieldAfter is how long a holder's write stays without an answer before
+	// it gives the lease to an instance that the store answers.
+	yieldAfter = 700 * time.Millisecond
+	// storeSpan is how recent an answer of the store to another instance has
+	// to be for that.
+	storeSpan = 1500 * time.Millisecond
 	// memberSpan is how long an instance counts after its last question.
 	memberSpan = 3 * time.Second
 )
@@ -35,6 +41,8 @@
 	From rosemarylb.InstanceID
 	// Seen is what it has seen of each group's primary.
 	Seen []Evidence
+	// StoreAt is when the store last answered it, zero for never.
+	StoreAt time.Time
 }
 
 // Evidence is what an instance has seen of one primary, in the keeper's time.
@@ -113,8 +121,9 @@
 
 // member is what an instance last told.
 type member struct {
-	at   time.Time
-	seen map[rosemarylb.DatabaseName]Evidence
+	at      time.Time
+	storeAt time.Time
+	seen    map[rosemarylb.DatabaseName]Evidence
 }
 
 // Keeper is one instance's part in keeping: it takes the lease when it is
@@ -135,6 +144,9 @@
 	promoteFrom time.Time
 	renewAt     time.Time
 
+	freed     uint64
+	clean     bool
+	failingAt time.Time
 	writing   bool
 	written   Write
 	writtenAt time.Time
@@ -192,8 +204,9 @@
 		seen[e.Group] = e
 	}
 	k.members[r.From] = member{
-		at:   now,
-		seen: seen,
+		at:      now,
+		storeAt: r.StoreAt,
+		seen:    seen,
 	}
 	for id, m := range k.members {
 		if now.Sub(m.at) > memberSpan {
@@ -257,6 +270,10 @@
 	if k.leading && !now.Before(k.leaseUntil) {
 		k = k.withoutLease("expired")
 	}
+	if k.yields(now) {
+		k.freed = k.record.Token
+		k = k.withoutLease("yielded, as the store answers others")
+	}
 	if k.leading && !k.retiring {
 		for name := range k.endpoints {
 			k, d = k.decideGroup(name, d, now)
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -18,6 +18,9 @@
 	k.revision = revision
 	k.seenAt = now
 	mine := r.Holder == k.self && r.Process == k.process
+	if mine {
+		k.failingAt = time.Time{}
+	}
 	switch {
 	case mine && r.Beat == k.written.Record.Beat:
 		return k.withLease(now)
@@ -31,6 +34,7 @@
 // WithWritten returns the keeper told that its write took effect.
 func (k Keeper) WithWritten(revision uint64, now time.Time) Keeper {
 	k.writing = false
+	k.failingAt = time.Time{}
 	if revision <= k.revision {
 		return k
 	}
@@ -47,12 +51,16 @@
 // WithConflict returns the keeper whose write came too late.
 func (k Keeper) WithConflict(r Record, revision uint64, now time.Time) Keeper {
 	k.writing = false
+	k.failingAt = time.Time{}
 	return k.WithObserved(r, revision, now)
 }
 
 // WithUnanswered returns the keeper that does not know whether its write took
 // effect, or will.
 func (k Keeper) WithUnanswered(now time.Time) Keeper {
+	if k.failingAt.IsZero() {
+		k.failingAt = k.writtenAt
+	}
 	k.writing = false
 	k.uncertain = true
 	k.readAt = now.Add(rewritePause)
@@ -69,6 +77,10 @@
 // withLease returns the keeper whose last write stands in the store. The lease
 // counts from when the write was sent.
 func (k Keeper) withLease(now time.Time) Keeper {
+	if k.freed != 0 && k.freed == k.record.Token {
+		// It was given up meanwhile; another instance may hold it already.
+		return k
+	}
 	until := k.writtenAt.Add(leaseSpan - leaseMargin)
 	if until.After(k.leaseUntil) || !k.leading {
 		k.leaseUntil = until
@@ -76,7 +88,10 @@
 	k.renewAt = k.writtenAt.Add(renewInterval)
 	if !k.leading {
 		k.leading = true
-		k.promoteFrom = now.Add(max(promotionTravel, PermitSpan))
+		k.promoteFrom = now
+		if !k.clean {
+			k.promoteFrom = now.Add(promotionTravel)
+		}
 		k.watches = nil
 		k = k.withNote(Note{
 			Event:  "lease taken",
@@ -104,7 +119,7 @@
 		}
 		return k, d
 	}
-	next, due := k.nextRecord(now)
+	k, next, due := k.nextRecord(now)
 	if !due {
 		return k, d
 	}
@@ -120,12 +135,13 @@
 }
 
 // nextRecord returns the record to write, false when none is due.
-func (k Keeper) nextRecord(now time.Time) (Record, bool) {
+func (k Keeper) nextRecord(now time.Time) (Keeper, Record, bool) {
 	if !k.leading {
-		return k.record.WithHolder(k.self, k.process, k.address), k.mayTake(now)
+		k.clean = k.released()
+		return k, k.record.WithHolder(k.self, k.process, k.address), k.mayTake(now)
 	}
 	if k.retiring {
-		return k.record.WithoutHolder(), !k.promoting()
+		return k, k.record.WithoutHolder(), !k.promoting()
 	}
 	next := k.record
 	changed := false
@@ -135,7 +151,7 @@
 			changed = true
 		}
 	}
-	return next, changed || !now.Before(k.renewAt)
+	return k, next, changed || !now.Before(k.renewAt)
 }
 
 // mayTake reports whether the lease is free: there is none, it was given back,
@@ -145,13 +161,49 @@
 		return false
 	}
 	switch {
-	case k.record.Holder == "", k.record.Holder == k.self:
+	case k.released(), k.record.Holder == k.self:
 		return true
 	default:
 		return !now.Before(k.seenAt.Add(leaseSpan))
 	}
 }
 
+// released reports whether the last holder has said that it promotes nobody
+// any more and gives no permits.
+func (k Keeper) released() bool {
+	return k.record.Holder == "" || k.freed != 0 && k.freed == k.record.Token
+}
+
+// WithReleased returns the keeper told by the holder of a token that it has
+// given the lease up.
+func (k Keeper) WithReleased(token uint64) Keeper {
+	k.freed = max(k.freed, token)
+	return k
+}
+
+// Released returns the token of the lease that this instance has given up
+// without the store's knowledge, 0 for none.
+func (k Keeper) Released() uint64 {
+	if k.leading || k.record.Holder != k.self || k.record.Process != k.process || k.freed != k.record.Token {
+		return 0
+	}
+	return k.freed
+}
+
+// yields reports whether the holder gives the lease up: the store has not
+// answered its writes for a while, and answers another instance.
+func (k Keeper) yields(now time.Time) bool {
+	if !k.leading || k.failingAt.IsZero() || now.Sub(k.failingAt) < yieldAfter || k.promoting() {
+		return false
+	}
+	for id, m := range k.members {
+		if id != k.self && now.Sub(m.at) < reportSpan && now.Sub(m.storeAt) < storeSpan && m.storeAt.After(k.failingAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // promoting reports whether an order to promote may be on its way.
 func (k Keeper) promoting() bool {
 	for _, w := range k.watches {
--- a/internal/failover/keeping/clerks.go
+++ b/internal/failover/keeping/clerks.go
@@ -104,6 +104,8 @@
 	store   rosemarylb.Store
 	ring    *duty.Ring[Event]
 	latest  *duty.Latest[keeper.Record]
+	clock   rosemarylb.Clock
+	heard   *duty.Latest[time.Time]
 	version uint64
 	at      time.Time
 }
@@ -121,6 +123,7 @@
 		return
 	}
 	w.at = now
+	w.heard.Store(w.clock.Now())
 	if o.Version == 0 {
 		w.at = now.Add(watchPause)
 	}
--- a/internal/failover/keeping/event.go
+++ b/internal/failover/keeping/event.go
@@ -41,6 +41,15 @@
 	Grants []keeper.Grant
 	// Share is the asker's part of endpoints' connections.
 	Share rosemarylb.Share
+	// Released is the token of a lease that this instance has given up without
+	// the store's knowledge, 0 for none.
+	Released uint64
+}
+
+// Released tells that the holder of a token has given the lease up.
+type Released struct {
+	// Token is the token.
+	Token uint64
 }
 
 // Retired has the keeper give the lease back.
@@ -76,6 +85,7 @@
 func (Registered) keepingEvent() {}
 func (Questioned) keepingEvent() {}
 func (Retired) keepingEvent()    {}
+func (Released) keepingEvent()   {}
 func (written) keepingEvent()    {}
 func (unread) keepingEvent()     {}
 func (promoted) keepingEvent()   {}
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -87,9 +87,11 @@
 	return n.gaveUp
 }
 
-// Start runs the duty and its clerks. The returned function stops them.
+// Start runs the duty and its clerks, and notes when the store last answered.
+// The returned function stops them.
 func (n *Keeping) Start(
 	store rosemarylb.Store, promoter rosemarylb.Promoter, port rosemarylb.EndpointPort,
+	heard *duty.Latest[time.Time],
 ) ([]*duty.Duty, func()) {
 	n.probes.port = port
 	main, stopMain := duty.StartOn[Event](n.clock, "keeper", n, n.ring)
@@ -105,6 +107,8 @@
 		store:  store,
 		ring:   n.ring,
 		latest: n.latest,
+		clock:  n.clock,
+		heard:  heard,
 		at:     n.clock.Now(),
 	}, duty.NewRing[struct{}]("keeper-watch", 1))
 	return []*duty.Duty{main, writer, herald, watch}, func() {
@@ -150,6 +154,8 @@
 		n.keeper = n.keeper.WithEndpoints(e.Endpoints)
 	case Retired:
 		n.keeper = n.keeper.WithRetiring()
+	case Released:
+		n.keeper = n.keeper.WithReleased(e.Token)
 	case written:
 		n.written(e, now)
 	case unread:
@@ -177,9 +183,10 @@
 	grants, keeps := n.keeper.Grants(now)
 	select {
 	case e.Answer <- Answer{
-		Keeps:  keeps,
-		Grants: grants,
-		Share:  n.keeper.Share(e.Report.From),
+		Keeps:    keeps,
+		Grants:   grants,
+		Share:    n.keeper.Share(e.Report.From),
+		Released: n.keeper.Released(),
 	}:
 	default:
 	}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -30,6 +30,7 @@
 
 // Endpoints follows the registered endpoints.
 type Endpoints struct {
+	clock     rosemarylb.Clock
 	directory rosemarylb.Directory
 	log       *slog.Logger
 	tell      func([]rosemarylb.EndpointSpec)
@@ -37,6 +38,7 @@
 	kept      map[rosemarylb.EndpointID]missing
 	at        time.Time
 	reachable bool
+	heard     *duty.Latest[time.Time]
 }
 
 // missing is an endpoint that is no longer listed.
@@ -45,18 +47,22 @@
 	until time.Time
 }
 
-// StartEndpoints runs a duty that tells of the registered endpoints. The
-// function told must not wait. The returned function stops it.
+// StartEndpoints runs a duty that tells of the registered endpoints, and notes
+// when the directory last answered. The function told must not wait. The
+// returned function stops it.
 func StartEndpoints(
-	c rosemarylb.Clock, d rosemarylb.Directory, l *slog.Logger, tell func([]rosemarylb.EndpointSpec),
+	c rosemarylb.Clock, d rosemarylb.Directory, l *slog.Logger, heard *duty.Latest[time.Time],
+	tell func([]rosemarylb.EndpointSpec),
 ) (*duty.Duty, func()) {
 	return duty.StartOn[struct{}](c, "registry-endpoints", &Endpoints{
+		clock:     c,
 		directory: d,
 		log:       l,
 		tell:      tell,
 		kept:      map[rosemarylb.EndpointID]missing{},
 		at:        c.Now(),
 		reachable: true,
+		heard:     heard,
 	}, duty.NewRing[struct{}]("registry-endpoints", 1))
 }
 
@@ -76,6 +82,7 @@
 		return
 	}
 	e.noteReachable(true, nil)
+	e.heard.Store(e.clock.Now())
 	e.at = now.Add(settlePause)
 	e.keep(next, now)
 	e.listing = next
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -43,7 +43,8 @@
 	clock    rosemarylb.Clock
 	log      *slog.Logger
 	store    rosemarylb.Store
-	record   *duty.Latest[keeper.Record]
+	keeping  *keeping.Keeping
+	storeAt  *duty.Latest[time.Time]
 	status   *duty.Latest[proxy.Status]
 	tell     *duty.Ring[proxy.Event]
 	address  string
@@ -57,17 +58,18 @@
 // NewAsker returns a duty that is not yet started; it tells the proxy's ring.
 func NewAsker(
 	self rosemarylb.InstanceID, c rosemarylb.Clock, l *slog.Logger, s rosemarylb.Store,
-	record *duty.Latest[keeper.Record], p *proxy.Proxy,
+	k *keeping.Keeping, storeAt *duty.Latest[time.Time], p *proxy.Proxy,
 ) *Asker {
 	return &Asker{
-		self:   self,
-		clock:  c,
-		log:    l,
-		store:  s,
-		record: record,
-		status: p.Status(),
-		tell:   p.Ring(),
-		at:     c.Now(),
+		self:    self,
+		clock:   c,
+		log:     l,
+		store:   s,
+		keeping: k,
+		storeAt: storeAt,
+		status:  p.Status(),
+		tell:    p.Ring(),
+		at:      c.Now(),
 	}
 }
 
@@ -147,6 +149,11 @@
 		return errors.Wrap(err, "keeper")
 	}
 	a.failures = 0
+	if token := reply.GetReleased(); token != 0 {
+		a.keeping.Ring().Put(keeping.Released{
+			Token: token,
+		})
+	}
 	if !reply.GetKeeper() {
 		return errNotKeeper
 	}
@@ -164,7 +171,8 @@
 
 func (a *Asker) question(now time.Time) *link.PermitRequest {
 	q := &link.PermitRequest{
-		From: string(a.self),
+		From:        string(a.self),
+		StoreMicros: since(a.storeAt.Load(), now),
 	}
 	for _, s := range a.status.Load().Sights {
 		q.Evidence = append(q.Evidence, &link.Evidence{
@@ -198,7 +206,7 @@
 
 // client returns the client of the keeper's address.
 func (a *Asker) client() (link.KeeperClient, error) {
-	address := a.record.Load().Address
+	address := a.keeping.Record().Load().Address
 	if address == "" {
 		return nil, errNoKeeper
 	}
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -64,7 +64,8 @@
 
 func decodeReport(q *link.PermitRequest, now time.Time) keeper.Report {
 	r := keeper.Report{
-		From: rosemarylb.InstanceID(q.GetFrom()),
+		From:    rosemarylb.InstanceID(q.GetFrom()),
+		StoreAt: before(now, q.GetStoreMicros()),
 	}
 	for _, e := range q.GetEvidence() {
 		r.Seen = append(r.Seen, keeper.Evidence{
@@ -96,9 +97,10 @@
 
 func encodePermits(a keeping.Answer) *link.PermitReply {
 	r := &link.PermitReply{
-		Keeper:  a.Keeps,
-		Members: uint32(a.Share.Members),
-		Index:   uint32(a.Share.Index),
+		Keeper:   a.Keeps,
+		Members:  uint32(a.Share.Members),
+		Index:    uint32(a.Share.Index),
+		Released: a.Released,
 	}
 	for _, g := range a.Grants {
 		p := &link.GrantedPermit{
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -114,7 +114,8 @@
 		return err
 	}
 	i.run(i.proxy.Start(i.clock))
-	duties, stop := i.keeping.Start(p.Store, p.Promoter, p.Probes)
+	heard := duty.NewLatest(time.Time{})
+	duties, stop := i.keeping.Start(p.Store, p.Promoter, p.Probes, heard)
 	i.duties = append(i.duties, duties...)
 	i.cleanups = append(i.cleanups, stop)
 	i.run(registry.StartConfiguration(i.clock, p.Directory, i.log, func(c rosemarylb.Catalog) {
@@ -122,7 +123,7 @@
 			Catalog: c,
 		})
 	}))
-	i.run(registry.StartEndpoints(i.clock, p.Directory, i.log, func(all []rosemarylb.EndpointSpec) {
+	i.run(registry.StartEndpoints(i.clock, p.Directory, i.log, heard, func(all []rosemarylb.EndpointSpec) {
 		i.proxy.Ring().Put(proxy.Registered{
 			Endpoints: all,
 		})
@@ -130,7 +131,7 @@
 			Endpoints: all,
 		})
 	}))
-	i.run(instance.NewAsker(id.Instance, i.clock, i.log, p.Store, i.keeping.Record(), i.proxy).Start())
+	i.run(instance.NewAsker(id.Instance, i.clock, i.log, p.Store, i.keeping, heard, i.proxy).Start())
 	stopCallers, err := p.Listen(i.proxy)
 	if err != nil {
 		return err
