Shorten failover: pause a silent primary early, step a live one down first

Cause: a dead primary was waited for 0.9 s and its permits 0.6 s after that, one after the other; a primary that leaves was used until its permits ran out before anything else began. Restarted processes told callers that databases do not exist before they had read a configuration, and opened connections as if alone, which the endpoints reset at their cap.

Change: permits stop after 0.4 s of silence and the record says so; the promotion still waits until the primary is taken for dead, and an answer to anybody ends the pause. A primary that answers is told to step down as soon as the intent stands, and its successor is promoted at once; permits for the successor wait for the old ones. A permit holds 500 ms, asked every 120 ms. Queries that wait for 400 ms count as a sign of failure. Callers that join before the first configuration wait for it. The record remembers how many instances share connections; an instance holds one until it is told, leaves one for the keeper, and closes further ones unused for 3 s.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -9,7 +9,7 @@
 
 const (
 	// PermitSpan is how long a permit holds, counted from its question.
-	PermitSpan = 600 * time.Millisecond
+	PermitSpan = 500 * time.Millisecond
 	// leaseSpan is how long a record that does not change keeps others from
 	// taking the lease: longer than an ordinary outage of the store.
 	leaseSpan = 10 * time.Second
@@ -139,6 +139,7 @@
 	known    bool
 
 	leading     bool
+	leadsFrom   time.Time
 	retiring    bool
 	leaseUntil  time.Time
 	promoteFrom time.Time
@@ -219,7 +220,7 @@
 // Share returns how endpoints' connections are divided, seen from an instance.
 func (k Keeper) Share(of rosemarylb.InstanceID) rosemarylb.Share {
 	s := rosemarylb.Share{
-		Members: len(k.members),
+		Members: max(len(k.members), k.record.Members),
 	}
 	for id := range k.members {
 		if id < of {
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -88,6 +88,7 @@
 	k.renewAt = k.writtenAt.Add(renewInterval)
 	if !k.leading {
 		k.leading = true
+		k.leadsFrom = now
 		k.promoteFrom = now
 		if !k.clean {
 			k.promoteFrom = now.Add(promotionTravel)
@@ -144,7 +145,10 @@
 		return k, k.record.WithoutHolder(), !k.promoting()
 	}
 	next := k.record
-	changed := false
+	if now.After(k.leadsFrom.Add(memberSpan)) {
+		next = next.WithMembers(len(k.members))
+	}
+	changed := next.Members != k.record.Members
 	for name, w := range k.watches {
 		if w.wanted != (Leadership{}) && w.wanted != next.Groups[name] {
 			next = next.WithLeadership(name, w.wanted)
--- a/internal/failover/keeper/move.go
+++ b/internal/failover/keeper/move.go
@@ -24,6 +24,13 @@
 	freshSpan = 500 * time.Millisecond
 )
 
+// Reasons of moves that later decisions depend on.
+const (
+	reasonSilent    = "silent"
+	reasonDemoted   = "demoted"
+	reasonInherited = "left by the former keeper"
+)
+
 // move is a change of primary under way.
 type move struct {
 	startedAt  time.Time
@@ -56,7 +63,7 @@
 	case w.moving():
 		return k.decideMove(name, d, now)
 	case l.Moving:
-		return k.startMove(name, l, "left by the former keeper", now), d
+		return k.startMove(name, l, reasonInherited, now), d
 	case l.Primary == "":
 		return k.discover(name, d, now)
 	}
@@ -138,13 +145,17 @@
 		w, d = w.ask(d, e, suspectInterval, now)
 	}
 	k = k.withWatch(name, w)
+	expired := !w.move.ackedAt.IsZero() && !now.Before(w.move.ackedAt.Add(PermitSpan))
 	if id, term, found := w.successor(); found {
+		if !expired {
+			return k, d
+		}
 		return k.endMove(name, id, term, now), d
 	}
 	if k.recovered(name, now) {
 		return k.endMove(name, w.move.old.Primary, w.move.old.Term, now), d
 	}
-	if w.move.ackedAt.IsZero() || now.Before(w.move.ackedAt.Add(PermitSpan)) {
+	if w.move.ackedAt.IsZero() {
 		return k, d
 	}
 	if !w.move.acceptedAt.IsZero() {
@@ -160,12 +171,22 @@
 	}
 	var settled bool
 	k, d, settled = k.stepDown(name, d, now)
-	if !settled {
+	if !settled || !expired && !w.follows() {
+		return k, d
+	}
+	if w.move.reason == reasonSilent && !w.follows() && !k.dead(name, w.move.old, now) {
 		return k, d
 	}
 	return k.promote(name, d, now)
 }
 
+// follows reports whether the old primary has said, after it was told to step
+// down, that it leads no more: it commits nothing then.
+func (w watch) follows() bool {
+	s := w.states[w.move.old.Primary]
+	return !w.move.downAt.IsZero() && s.askedAt.After(w.move.downAt) && !s.primary
+}
+
 // successor returns the endpoint that leads in a later term than the one that
 // is left.
 func (w watch) successor() (rosemarylb.EndpointID, rosemarylb.Term, bool) {
@@ -185,10 +206,13 @@
 	w := k.watches[name]
 	old := w.move.old
 	s := w.states[old.Primary]
-	if w.move.candidate != "" || !w.move.downAt.IsZero() || w.move.reason == "left by the former keeper" {
+	if w.move.candidate != "" || !w.move.downAt.IsZero() || w.move.reason == reasonInherited {
 		return false
 	}
 	spec, listed := k.endpoint(name, old.Primary)
+	if w.move.reason == reasonSilent && listed && !spec.Leaving && k.aliveAt(name, old).After(w.move.startedAt) {
+		return true
+	}
 	if !listed || spec.Leaving || !s.leads(old.Term) || !s.askedAt.After(w.move.startedAt) {
 		return false
 	}
@@ -224,6 +248,9 @@
 	s := w.states[old.Primary]
 	spec, listed := k.endpoint(name, old.Primary)
 	answers := listed && s.askedAt.After(w.move.startedAt) && s.failures == 0
+	if !answers && listed && w.move.reason != reasonSilent && now.Sub(w.move.startedAt) < stepDownSpan {
+		return k, d, false
+	}
 	if !answers || !s.leads(old.Term) {
 		return k, d, true
 	}
@@ -293,7 +320,7 @@
 		if !fresh || e.Leaving || e.ID == w.move.refused {
 			continue
 		}
-		if e.ID == w.move.old.Primary && w.move.reason != "demoted" {
+		if e.ID == w.move.old.Primary && w.move.reason != reasonDemoted {
 			continue
 		}
 		if best == "" || most.Less(s.position) {
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -25,6 +25,8 @@
 	Token uint64 `json:"token"`
 	// Beat rises with each write.
 	Beat uint64 `json:"beat"`
+	// Members is how many instances asked the holder for permits.
+	Members int `json:"members"`
 	// Groups are the primaries by group.
 	Groups map[rosemarylb.DatabaseName]Leadership `json:"groups"`
 }
@@ -66,6 +68,12 @@
 	return r
 }
 
+// WithMembers returns the record with another number of instances.
+func (r Record) WithMembers(n int) Record {
+	r.Members = n
+	return r
+}
+
 // WithHolder returns the record taken by another process.
 func (r Record) WithHolder(id rosemarylb.InstanceID, process uint64, address string) Record {
 	r.Holder = id
--- a/internal/failover/keeper/watch.go
+++ b/internal/failover/keeper/watch.go
@@ -15,13 +15,18 @@
 	suspectInterval = 100 * time.Millisecond
 	// suspectAfter is how long no query was answered before the questions
 	// come faster.
-	suspectAfter = 300 * time.Millisecond
+	suspectAfter = 250 * time.Millisecond
+	// pauseAfter is how long a primary is silent before its permits stop, so
+	// that they have run out when it is taken for dead.
+	pauseAfter = 400 * time.Millisecond
 	// deadAfter is how long a primary that answers nobody is waited for.
 	deadAfter = 900 * time.Millisecond
 	// refusedAfter is that for one that refuses connections or breaks them.
 	refusedAfter = 250 * time.Millisecond
 	// deadProbes is how many questions in a row a dead primary left unanswered.
 	deadProbes = 2
+	// pauseProbes is that of one whose permits stop.
+	pauseProbes = 1
 	// reportSpan is how recent an instance's report has to be to count.
 	reportSpan = 800 * time.Millisecond
 	// missingAfter is how long an endpoint may be missing from the list.
@@ -191,10 +196,10 @@
 		return "demoted"
 	case !k.heard(now):
 		return ""
-	case s.failures >= deadProbes && silent > deadAfter:
-		return "silent"
 	case s.refused >= deadProbes && silent > refusedAfter:
 		return "refused"
+	case s.failures >= pauseProbes && silent > pauseAfter:
+		return reasonSilent
 	}
 	if reach, miss := k.failing(name, l, now); miss > reach {
 		return "unreachable for most"
@@ -202,6 +207,13 @@
 	return ""
 }
 
+// dead reports whether a primary whose permits stopped for its silence is
+// taken for dead.
+func (k Keeper) dead(name rosemarylb.DatabaseName, l Leadership, now time.Time) bool {
+	s := k.watches[name].states[l.Primary]
+	return s.failures >= deadProbes && now.Sub(k.aliveAt(name, l)) > deadAfter && k.heard(now)
+}
+
 // replaceable reports whether some other endpoint of the group stays.
 func (k Keeper) replaceable(name rosemarylb.DatabaseName, l Leadership) bool {
 	for _, e := range k.endpoints[name] {
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -22,7 +22,7 @@
 const (
 	// askInterval is the time between two questions; several fit into the
 	// span of a permit.
-	askInterval = 150 * time.Millisecond
+	askInterval = 120 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = 250 * time.Millisecond
 	// silentAfter is how long the keeper may be silent before the store is
--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -19,6 +19,13 @@
 	// limitSpan is how long a refusal for the limit keeps the number of
 	// connections at what it was.
 	limitSpan = 3 * time.Second
+	// surplusSpan is how long a connection beyond the first stays unused: an
+	// endpoint counts those of a machine that lost power for seconds, and the
+	// room is needed then.
+	surplusSpan = 3 * time.Second
+	// probeReserve is how many of an endpoint's connections are left to the
+	// keeper.
+	probeReserve = 1
 	// preparedLimit is how many statements one connection keeps.
 	preparedLimit = 256
 )
@@ -29,7 +36,7 @@
 	for _, c := range l.spec.ID {
 		offset += int(c)
 	}
-	return p.share.Limit(l.spec.Connections, offset)
+	return p.share.Limit(l.spec.Connections-probeReserve, offset)
 }
 
 // openable reports whether one more connection may be opened now.
@@ -71,7 +78,7 @@
 // free returns a clean connection to its endpoint's pool.
 func (p *Proxy) free(k *link, now time.Time) {
 	k.state = linkIdle
-	k.until = time.Time{}
+	k.until = now.Add(surplusSpan)
 	k.job = nil
 	k.seat = nil
 	l := k.lane
@@ -170,6 +177,10 @@
 			s.dialogue = s.dialogue.WithState(rosemarylb.TransactionFailed)
 			p.log.Info("transaction ended", "session", s.dialogue.ID(), "reason", "idle", "endpoint", k.lane.spec.ID)
 			p.clean(k, now)
+		case linkIdle:
+			if len(k.lane.links) > 1 {
+				p.drop(k)
+			}
 		case linkOpening, linkCleaning:
 			p.endpoints.Close(k.id)
 			p.lost(Lost{
--- a/internal/traffic/proxy/place.go
+++ b/internal/traffic/proxy/place.go
@@ -207,7 +207,7 @@
 
 // primary returns the endpoint that may be used as the group's primary.
 func (p *Proxy) primary(g *group, now time.Time) *lane {
-	if !now.Before(g.permit.Until) {
+	if !now.Before(g.permit.Until) || g.demoted >= g.permit.Term {
 		return nil
 	}
 	l, found := p.lanes[g.permit.Primary]
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"rosemarylb"
@@ -22,6 +23,9 @@
 	// with queries under way and without.
 	tickBusy = 5 * time.Millisecond
 	tickIdle = 50 * time.Millisecond
+	// waitingAlarm is how long a query may wait for its answer before the keeper
+	// hears of it.
+	waitingAlarm = 400 * time.Millisecond
 	// pipelineLimit is how many queries of one session may wait.
 	pipelineLimit = 64
 	// queueLimit is how many queries of a rank may wait for a group.
@@ -51,6 +55,7 @@
 	links   map[rosemarylb.ConnectionID]*link
 	seats   map[rosemarylb.SessionID]*seat
 	known   bool
+	joins   []Joined
 	number  uint64
 	tickAt  time.Time
 	jobs    int
@@ -95,9 +100,6 @@
 		status: duty.NewLatest(Status{
 			Empty: true,
 		}),
-		share: rosemarylb.Share{
-			Members: 1,
-		},
 		groups: map[rosemarylb.DatabaseName]*group{},
 		lanes:  map[rosemarylb.EndpointID]*lane{},
 		links:  map[rosemarylb.ConnectionID]*link{},
@@ -189,7 +191,7 @@
 	case Registered:
 		p.registered(e, now)
 	case Configured:
-		p.configured(e)
+		p.configured(e, now)
 	case Permitted:
 		p.permitted(e, now)
 	case Shared:
@@ -228,13 +230,30 @@
 		Empty: len(p.seats) == 0,
 	}
 	for _, g := range p.groups {
-		if g.sight.Primary != "" {
-			s.Sights = append(s.Sights, g.sight)
+		if sight := p.sight(g); sight.Primary != "" {
+			s.Sights = append(s.Sights, sight)
 		}
 	}
 	p.status.Store(s)
 }
 
+// sight returns what was seen of a group's primary; a query that waits long
+// for its answer counts as a failure.
+func (p *Proxy) sight(g *group) Sight {
+	s := g.sight
+	l, found := p.lanes[g.permit.Primary]
+	if !found || s.Primary != g.permit.Primary || !s.FailingAt.IsZero() {
+		return s
+	}
+	for _, k := range l.links {
+		if k.state == linkBusy && k.job != nil && k.job.sentAt.After(s.AnsweredAt) &&
+			p.tickAt.Sub(k.job.sentAt) > waitingAlarm {
+			return s.withFailure(s.Primary, k.job.sentAt)
+		}
+	}
+	return s
+}
+
 // ready reports whether every group's endpoints and primary were known once.
 func (p *Proxy) ready() bool {
 	if p.catalog.Version == 0 || !p.known || !p.drain.CloseAt.IsZero() {
@@ -272,11 +291,16 @@
 // percent.
 var leastShares = [rosemarylb.RankCount]int{0, 10, 10}
 
-func (p *Proxy) configured(e Configured) {
+func (p *Proxy) configured(e Configured, now time.Time) {
 	if !e.Catalog.Supersedes(p.catalog) {
 		return
 	}
 	p.catalog = e.Catalog
+	joins := p.joins
+	p.joins = nil
+	for _, j := range joins {
+		p.joined(j, now)
+	}
 	for name := range e.Catalog.Groups {
 		p.group(name)
 	}
@@ -286,7 +310,13 @@
 	p.log.Info("configuration in force", "version", e.Catalog.Version, "routes", len(e.Catalog.Routes))
 }
 
+// joined welcomes a caller. Before the first configuration it waits: whether
+// its database exists is not known yet.
 func (p *Proxy) joined(e Joined, now time.Time) {
+	if p.catalog.Version == 0 {
+		p.joins = append(p.joins, e)
+		return
+	}
 	if _, found := p.catalog.Routes[e.Database]; !found {
 		p.log.Info("session refused", "session", e.Session, "database", e.Database,
 			"version", p.catalog.Version, "reason", "no-database")
@@ -308,6 +338,9 @@
 func (p *Proxy) left(e Left, now time.Time) {
 	s, found := p.seats[e.Session]
 	if !found {
+		p.joins = slices.DeleteFunc(p.joins, func(j Joined) bool {
+			return j.Session == e.Session
+		})
 		return
 	}
 	delete(p.seats, e.Session)
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -244,6 +244,7 @@
 	case rosemarylb.ReplyReadOnly:
 		pause = demotedPause
 		g.sight = g.sight.withFailure(l.spec.ID, now)
+		g.demoted = max(g.demoted, j.term)
 	case rosemarylb.ReplyNoStatement:
 	default:
 		pause = busyPause
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -129,6 +129,8 @@
 	parked  []*job
 	held    []held
 	sight   Sight
+	// demoted is the last term whose primary was seen not to lead.
+	demoted rosemarylb.Term
 }
 
 // held is the answer of a primary that waits for a permit that covers it.
