Let reads follow each other on connections to another region

Replicas that lacked one position got no reads at all for up to 640 ms.

Change: a single read is sent behind another one on a connection to another region, three at most. Single reads at the primary wait in a line of their own; the most urgent line that can be served goes first. A replica that lacked a position is given reads of positions that it is known to hold. The expected wait counts only endpoints that get reads.

--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -77,13 +77,16 @@
 
 // free returns a clean connection to its endpoint's pool.
 func (p *Proxy) free(k *link, now time.Time) {
+	if k.advance() {
+		return
+	}
 	k.state = linkIdle
 	k.until = now.Add(surplusSpan)
 	k.job = nil
 	k.seat = nil
 	l := k.lane
 	if l.gone || l.spec.Leaving || k.closing || len(l.links) > p.limit(l) || len(k.prepared) > preparedLimit {
-		p.drop(k)
+		p.drop(k, now)
 	}
 	p.dispatch(l.group, now)
 }
@@ -103,9 +106,10 @@
 }
 
 // drop closes a connection and forgets it.
-func (p *Proxy) drop(k *link) {
+func (p *Proxy) drop(k *link, now time.Time) {
 	p.endpoints.Close(k.id)
 	p.remove(k)
+	p.strand(k, now)
 }
 
 func (p *Proxy) remove(k *link) {
@@ -152,6 +156,7 @@
 	if k.job != nil {
 		p.broken(k.job, now)
 	}
+	p.strand(k, now)
 	p.dispatch(l.group, now)
 }
 
@@ -179,7 +184,7 @@
 			p.clean(k, now)
 		case linkIdle:
 			if len(k.lane.links) > 1 {
-				p.drop(k)
+				p.drop(k, now)
 			}
 		case linkOpening, linkCleaning:
 			p.endpoints.Close(k.id)
--- a/internal/traffic/proxy/place.go
+++ b/internal/traffic/proxy/place.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"slices"
 	"time"
 
 	"rosemarylb"
@@ -44,167 +43,6 @@
 	return j
 }
 
-// start runs a query on the connection of its transaction, or has it wait for
-// one.
-func (p *Proxy) start(j *job, now time.Time) {
-	if j.inside && !j.begin {
-		l := j.seat.link
-		if l == nil {
-			p.failTransaction(j, "the connection of the transaction is gone", now)
-			return
-		}
-		if l.term != 0 && l.term < l.lane.group.permit.Term {
-			p.clean(l, now)
-			p.failTransaction(j, "the primary of the transaction was replaced", now)
-			return
-		}
-		p.run(j, l, now)
-		return
-	}
-	g := p.group(j.route.Group)
-	p.enqueue(g, j, now)
-	p.dispatch(g, now)
-}
-
-// enqueue has a query wait for a connection. What cannot be served in time is
-// refused at once.
-func (p *Proxy) enqueue(g *group, j *job, now time.Time) {
-	r := rosemarylb.Request{
-		ID: rosemarylb.RequestID{
-			Sequence: j.number,
-		},
-		Rank:       j.route.Rank,
-		ArrivedAt:  j.arrivedAt,
-		QueueUntil: j.deadline,
-		Deadline:   j.deadline,
-	}
-	g.jobs[j.number] = j
-	q := &g.toRead
-	if j.primary {
-		q = &g.toLead
-	}
-	rest, refusal := (*q).WithRequest(r, now)
-	*q = rest
-	if refusal.Reason != rosemarylb.ReasonNone {
-		p.refuse(g, refusal.Request, refusal.Reason, now)
-	}
-}
-
-// refuse answers a waiting query as not run.
-func (p *Proxy) refuse(g *group, r rosemarylb.Request, reason rosemarylb.Reason, now time.Time) {
-	j, found := g.jobs[r.ID.Sequence]
-	if !found {
-		return
-	}
-	delete(g.jobs, j.number)
-	p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: "+reason.String()), now)
-}
-
-// forget drops a waiting query whose caller is gone.
-func (p *Proxy) forget(j *job) {
-	g := p.group(j.route.Group)
-	id := rosemarylb.RequestID{
-		Sequence: j.number,
-	}
-	g.toLead, _ = g.toLead.WithoutRequest(id)
-	g.toRead, _ = g.toRead.WithoutRequest(id)
-	g.parked = slices.DeleteFunc(g.parked, func(o *job) bool {
-		return o == j
-	})
-	g.held = slices.DeleteFunc(g.held, func(h held) bool {
-		return h.job == j
-	})
-	delete(g.jobs, j.number)
-	p.jobs--
-}
-
-// park has a query wait for a moment before it is placed again.
-func (p *Proxy) park(g *group, j *job, until time.Time) {
-	j.parkedTo = until
-	g.parked = append(g.parked, j)
-}
-
-func (p *Proxy) unpark(g *group, now time.Time) {
-	var still []*job
-	for _, j := range g.parked {
-		if now.Before(j.parkedTo) {
-			still = append(still, j)
-			continue
-		}
-		p.enqueue(g, j, now)
-	}
-	g.parked = still
-}
-
-// dispatch gives free connections of a group to waiting queries.
-func (p *Proxy) dispatch(g *group, now time.Time) {
-	p.unpark(g, now)
-	p.dispatchLead(g, now)
-	p.dispatchRead(g, now)
-}
-
-func (p *Proxy) dispatchLead(g *group, now time.Time) {
-	for waits(g.toLead) {
-		primary := p.primary(g, now)
-		if primary == nil {
-			return
-		}
-		if primary.count(linkIdle) == 0 {
-			p.grow(primary, now)
-			return
-		}
-		j := p.next(g, &g.toLead, now)
-		if j == nil {
-			return
-		}
-		p.place(j, primary, now)
-	}
-}
-
-func (p *Proxy) dispatchRead(g *group, now time.Time) {
-	for waits(g.toRead) {
-		if !p.mayRead(g, now) {
-			return
-		}
-		j := p.next(g, &g.toRead, now)
-		if j == nil {
-			return
-		}
-		best := p.choose(g, j, now)
-		if best == nil {
-			p.park(g, j, now.Add(tickBusy))
-			continue
-		}
-		p.place(j, best, now)
-	}
-}
-
-// next takes the query that is due from a queue, and refuses those that are
-// late.
-func (p *Proxy) next(g *group, q *rosemarylb.Queue, now time.Time) *job {
-	d, rest := (*q).Next(now)
-	*q = rest
-	for _, r := range d.Expired {
-		p.refuse(g, r, rosemarylb.ReasonDeadline, now)
-	}
-	if !d.Found {
-		return nil
-	}
-	j, found := g.jobs[d.Request.ID.Sequence]
-	rosemarylb.Invariantf(found, "query %d waits without a job", d.Request.ID.Sequence)
-	delete(g.jobs, j.number)
-	return j
-}
-
-func waits(q rosemarylb.Queue) bool {
-	for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
-		if q.Depth(rank) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // primary returns the endpoint that may be used as the group's primary.
 func (p *Proxy) primary(g *group, now time.Time) *lane {
 	if !now.Before(g.permit.Until) || g.demoted >= g.permit.Term {
@@ -225,7 +63,7 @@
 		if !p.reads(l, now) {
 			continue
 		}
-		if l.count(linkIdle) > 0 {
+		if l.count(linkIdle) > 0 || p.following(l) != nil {
 			return true
 		}
 		if l.openable(p.limit(l), now) && (best == nil || p.cost(l) < p.cost(best)) {
@@ -246,17 +84,14 @@
 // choose returns the endpoint with a free connection that answers a read
 // soonest, nil when none may serve it.
 func (p *Proxy) choose(g *group, j *job, now time.Time) *lane {
-	_, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
+	required, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
 	primary := p.primary(g, now)
 	var best *lane
 	for _, l := range g.lanes {
-		if !p.reads(l, now) || l.count(linkIdle) == 0 || j.avoids(l.spec.ID) {
-			continue
-		}
-		if l != primary && !covered {
+		if !p.reads(l, now) || j.avoids(l.spec.ID) || l.count(linkIdle) == 0 && p.following(l) == nil {
 			continue
 		}
-		if l.spec.ID == g.permit.Primary && primary == nil {
+		if l != primary && (!covered || l.spec.ID == g.permit.Primary || l.lacks(required, now)) {
 			continue
 		}
 		if best == nil || p.cost(l) < p.cost(best) {
@@ -270,6 +105,12 @@
 	return best
 }
 
+// lacks reports whether a replica is known to lack a position. After a while
+// it is asked again.
+func (l *lane) lacks(required rosemarylb.Position, now time.Time) bool {
+	return now.Before(l.behindTo) && l.applied.Less(required)
+}
+
 // widen opens a connection to a nearer endpoint than the best that is free.
 func (p *Proxy) widen(g *group, j *job, best *lane, now time.Time) {
 	for _, l := range g.lanes {
@@ -300,7 +141,8 @@
 	return c + c*time.Duration(l.count(linkBusy))/time.Duration(max(l.spec.Slots, 1))
 }
 
-// place runs a query on the free connection of an endpoint that suits it best.
+// place runs a query on the free connection of an endpoint that suits it best,
+// or behind another read.
 func (p *Proxy) place(j *job, l *lane, now time.Time) {
 	var best *link
 	for _, k := range l.links {
@@ -311,8 +153,16 @@
 			best = k
 		}
 	}
-	rosemarylb.Invariantf(best != nil, "endpoint %s has no free connection", l.spec.ID)
-	p.run(j, best, now)
+	if best != nil {
+		p.run(j, best, now)
+		return
+	}
+	k := p.following(l)
+	if k == nil || !k.takes(j) {
+		p.park(l.group, j, now.Add(parkPause))
+		return
+	}
+	p.follow(j, k, now)
 }
 
 // suits grades a connection: one that has the session's values needs nothing,
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -11,7 +11,6 @@
 	"rosemarylb"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/traffic/dialogue"
-	"rosemarylb/internal/traffic/queue"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -273,12 +272,9 @@
 		return g
 	}
 	g := &group{
-		name: name,
-		toLead: queue.NewShares(queue.WithLimit(queueLimit),
-			queue.WithShares(leastShares)),
-		toRead: queue.NewShares(queue.WithLimit(queueLimit),
-			queue.WithShares(leastShares)),
-		jobs: map[uint64]*job{},
+		name:  name,
+		lines: newLines(),
+		jobs:  map[uint64]*job{},
 		sight: Sight{
 			Group: name,
 		},
@@ -287,10 +283,6 @@
 	return g
 }
 
-// leastShares is the least part of the service time that each rank keeps, in
-// percent.
-var leastShares = [rosemarylb.RankCount]int{0, 10, 10}
-
 func (p *Proxy) configured(e Configured, now time.Time) {
 	if !e.Catalog.Supersedes(p.catalog) {
 		return
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -9,26 +9,14 @@
 
 // run sends a query on a connection, after what has to be laid onto it.
 func (p *Proxy) run(j *job, k *link, now time.Time) {
-	j.attempts++
-	j.link = k
-	j.sent = false
-	j.term = 0
+	p.prepare(j, k)
 	k.seat = nil
 	j.seat.link = nil
-	g := k.lane.group
-	leads := k.lane.spec.ID == g.permit.Primary
-	if leads {
-		j.term = g.permit.Term
-	}
 	k.state = linkBusy
 	k.job = j
 	k.until = time.Time{}
 	j.steps = k.prelude(j)
-	query := j.query
-	var wait rosemarylb.Position
-	if !leads && (j.begin || !j.inside) {
-		wait, _ = g.samples.Required(j.asOf, j.seat.dialogue.Floor())
-	}
+	query := p.waiting(j, k)
 	if j.begin {
 		kind := rosemarylb.QueryBegin
 		if j.seat.dialogue.ReadOnly() {
@@ -36,17 +24,40 @@
 		}
 		j.steps = append(j.steps, rosemarylb.Query{
 			Kind: kind,
-			Wait: wait,
+			Wait: query.Wait,
 		})
-	} else {
-		query = query.WithWait(wait)
+		query = query.WithWait(rosemarylb.Position{})
 	}
 	j.steps = append(j.steps, query)
-	if j.inside && !j.begin {
+	p.step(j, now)
+}
+
+// prepare notes where a query runs, and the term that its answer relies on.
+func (p *Proxy) prepare(j *job, k *link) {
+	g := k.lane.group
+	j.attempts++
+	j.link = k
+	j.sent = false
+	j.term = 0
+	switch {
+	case j.inside && !j.begin:
 		// The transaction keeps the term that it began in.
 		j.term = k.term
+	case k.lane.spec.ID == g.permit.Primary:
+		j.term = g.permit.Term
 	}
-	p.step(j, now)
+}
+
+// waiting returns a job's query with the position that a replica has to hold
+// for it.
+func (p *Proxy) waiting(j *job, k *link) rosemarylb.Query {
+	g := k.lane.group
+	if k.lane.spec.ID == g.permit.Primary || j.inside && !j.begin {
+		return j.query
+	}
+	wait, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
+	rosemarylb.Invariantf(covered, "%s was placed on a replica without a position to see", j.query.ID)
+	return j.query.WithWait(wait)
 }
 
 // step sends the next step of a query. From the last one on it may have had
@@ -66,7 +77,7 @@
 	}
 	if k.state == linkCleaning {
 		if e.Reply.Code != rosemarylb.ReplyDone || e.Reply.State != rosemarylb.TransactionNone {
-			p.drop(k)
+			p.drop(k, now)
 			return
 		}
 		p.free(k, now)
@@ -75,7 +86,7 @@
 	j := k.job
 	if k.state != linkBusy || j == nil {
 		// A reply that nothing was asked for: the connection is out of step.
-		p.drop(k)
+		p.drop(k, now)
 		return
 	}
 	p.observe(k, j, e.Reply, now)
@@ -89,6 +100,9 @@
 // observe learns from a reply: positions of the primary and its life.
 func (p *Proxy) observe(k *link, j *job, r rosemarylb.Reply, now time.Time) {
 	g := k.lane.group
+	if k.lane.applied.Less(r.Position) {
+		k.lane.applied = r.Position
+	}
 	if k.lane.spec.ID != g.permit.Primary || r.Code == rosemarylb.ReplyReadOnly {
 		return
 	}
@@ -109,7 +123,7 @@
 			p.settleLink(k, r.State, now)
 			return
 		}
-		p.drop(k)
+		p.drop(k, now)
 		p.again(j, k.lane, rosemarylb.ReplyAborted, now)
 		return
 	}
@@ -134,11 +148,8 @@
 	if r.Code == rosemarylb.ReplyDone {
 		l.pace = l.pace.withAnswer(now.Sub(j.sentAt))
 	}
-	q := &l.group.toRead
-	if j.primary {
-		q = &l.group.toLead
-	}
-	*q = (*q).WithServed(j.route.Rank, now.Sub(j.sentAt)).WithService(queueSettings, p.slots(l.group, j.primary))
+	q := &l.group.lines[j.line()]
+	*q = (*q).WithServed(j.route.Rank, now.Sub(j.sentAt)).WithService(queueSettings, p.slots(l.group, j.primary, now))
 	if r.Code == rosemarylb.ReplyNoStatement {
 		delete(k.prepared, j.query.Name)
 	}
@@ -189,11 +200,14 @@
 
 // settleLink frees a connection, after a roll back if a transaction is open.
 func (p *Proxy) settleLink(k *link, s rosemarylb.TransactionState, now time.Time) {
-	if s == rosemarylb.TransactionNone {
+	switch {
+	case s == rosemarylb.TransactionNone:
 		p.free(k, now)
-		return
+	case len(k.behind) > 0:
+		p.drop(k, now)
+	default:
+		p.clean(k, now)
 	}
-	p.clean(k, now)
 }
 
 // idleLimit is how long a transaction may stay idle.
@@ -236,8 +250,7 @@
 	switch code {
 	case rosemarylb.ReplyBehind:
 		l.pace = l.pace.withBehind()
-		l.avoidTo = now.Add(l.pace.behind)
-		j.avoid = append(j.avoid, l.spec.ID)
+		l.behindTo = now.Add(l.pace.behind)
 	case rosemarylb.ReplyBusy:
 		pause = busyPause
 		l.avoidTo = now.Add(busyPause)
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -21,10 +21,10 @@
 }
 
 // slots returns how many queries of a queue can run at the same time.
-func (p *Proxy) slots(g *group, primary bool) int {
+func (p *Proxy) slots(g *group, primary bool, now time.Time) int {
 	n := 0
 	for _, l := range g.lanes {
-		if primary && l.spec.ID != g.permit.Primary {
+		if primary && l.spec.ID != g.permit.Primary || !p.reads(l, now) || now.Before(l.behindTo) {
 			continue
 		}
 		n += min(p.limit(l), max(l.spec.Slots, 1))
@@ -65,7 +65,7 @@
 	queryTime.Update(now.Sub(j.arrivedAt).Seconds())
 	s.idleFrom = now
 	p.callers.Answer(s.dialogue.ID(), r.WithState(s.dialogue.State()))
-	p.following(s, now)
+	p.resume(s, now)
 }
 
 // finishRefused ends the transaction of a query that was not answered, and
@@ -85,8 +85,8 @@
 		"term", g.permit.Term, "group", g.name, "took-us", 0)
 }
 
-// following starts the next query that a session sent meanwhile.
-func (p *Proxy) following(s *seat, now time.Time) {
+// resume starts the next query that a session sent meanwhile.
+func (p *Proxy) resume(s *seat, now time.Time) {
 	for s.job == nil && len(s.waiting) > 0 {
 		q := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -103,7 +103,9 @@
 func (p *Proxy) broken(j *job, now time.Time) {
 	k := j.link
 	j.link = nil
-	k.job = nil
+	if k.job == j {
+		k.job = nil
+	}
 	if j.orphan() {
 		p.jobs--
 		return
@@ -196,10 +198,10 @@
 // expire settles everything of a group whose deadline has passed.
 func (p *Proxy) expire(g *group, now time.Time) {
 	var late []rosemarylb.Request
-	g.toLead, late = g.toLead.WithoutExpired(now)
-	p.refuseAll(g, late, now)
-	g.toRead, late = g.toRead.WithoutExpired(now)
-	p.refuseAll(g, late, now)
+	for n := range g.lines {
+		g.lines[n], late = g.lines[n].WithoutExpired(now)
+		p.refuseAll(g, late, now)
+	}
 	p.recheck(g, now)
 	for _, l := range g.lanes {
 		for _, k := range l.links {
@@ -210,12 +212,6 @@
 	}
 }
 
-func (p *Proxy) refuseAll(g *group, late []rosemarylb.Request, now time.Time) {
-	for _, r := range late {
-		p.refuse(g, r, rosemarylb.ReasonDeadline, now)
-	}
-}
-
 // overdue breaks a connection that has been silent past a query's deadline.
 func (p *Proxy) overdue(k *link, now time.Time) {
 	j := k.job
@@ -226,7 +222,8 @@
 	k.job = nil
 	if j.orphan() {
 		p.jobs--
-		return
+	} else {
+		p.unanswered(j, now)
 	}
-	p.unanswered(j, now)
+	p.strand(k, now)
 }
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -85,6 +85,7 @@
 	state    linkState
 	until    time.Time
 	job      *job
+	behind   []*job
 	seat     *seat
 	values   map[string]string
 	key      string
@@ -101,6 +102,8 @@
 	gone      bool
 	openAt    time.Time
 	avoidTo   time.Time
+	behindTo  time.Time
+	applied   rosemarylb.Position
 	pace      pace
 	openFails int
 	softLimit int
@@ -123,8 +126,7 @@
 	permit  rosemarylb.Permit
 	samples freshness.Samples
 	lanes   []*lane
-	toLead  rosemarylb.Queue
-	toRead  rosemarylb.Queue
+	lines   [lineCount]rosemarylb.Queue
 	jobs    map[uint64]*job
 	parked  []*job
 	held    []held
--- a/internal/traffic/proxy/view.go
+++ b/internal/traffic/proxy/view.go
@@ -20,7 +20,7 @@
 		}
 		p.log.Info("endpoint gone", "endpoint", id, "group", l.group.name)
 		l.gone = true
-		p.closeIdle(l)
+		p.closeIdle(l, now)
 	}
 	for _, g := range p.groups {
 		p.dispatch(g, now)
@@ -32,7 +32,7 @@
 	l, found := p.lanes[spec.ID]
 	if found && l.spec.Database != spec.Database {
 		l.gone = true
-		p.closeIdle(l)
+		p.closeIdle(l, now)
 		l.group.remove(l)
 		found = false
 	}
@@ -57,7 +57,7 @@
 	l.spec = spec
 	l.gone = false
 	if spec.Leaving || moved {
-		p.closeIdle(l)
+		p.closeIdle(l, now)
 	}
 }
 
@@ -74,11 +74,11 @@
 
 // closeIdle closes the free connections to an endpoint, and those in use once
 // they are free.
-func (p *Proxy) closeIdle(l *lane) {
+func (p *Proxy) closeIdle(l *lane, now time.Time) {
 	for _, k := range l.links {
 		k.closing = true
 		if k.state == linkIdle {
-			p.drop(k)
+			p.drop(k, now)
 		}
 	}
 }
