Refuse a query after half of its time, unless the group has no primary

Change: a query waits for a connection for half of its route's time. While its group has no primary, no instance would serve it sooner, and it waits on.

--- a/internal/traffic/proxy/wait.go
+++ b/internal/traffic/proxy/wait.go
@@ -22,6 +22,12 @@
 	lineCount = 3
 )
 
+// patience is the part of a query's time, one in so many, that it may wait
+// here for a connection: it is refused then as not run, so that the caller can
+// come back to another instance. While a group has no primary no instance
+// serves it sooner, and the query waits for all of its time.
+const patience = 2
+
 // parkPause is the wait of a query that no endpoint can serve right now.
 const parkPause = 10 * time.Millisecond
 
@@ -74,13 +80,17 @@
 // enqueue has a query wait for a connection. What cannot be served in time is
 // refused at once.
 func (p *Proxy) enqueue(g *group, j *job, now time.Time) {
+	until := j.deadline
+	if p.primary(g, now) != nil {
+		until = j.arrivedAt.Add(j.deadline.Sub(j.arrivedAt) / patience)
+	}
 	r := rosemarylb.Request{
 		ID: rosemarylb.RequestID{
 			Sequence: j.number,
 		},
 		Rank:       j.route.Rank,
 		ArrivedAt:  j.arrivedAt,
-		QueueUntil: j.deadline,
+		QueueUntil: until,
 		Deadline:   j.deadline,
 	}
 	g.jobs[j.number] = j
