--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -23,8 +23,9 @@
 	// PromotionTimeout bounds a promote call; none travels longer.
 	PromotionTimeout = time.Second
 	// promotionTravel is how long a successor waits before its first promotion
-	// so that no order of its predecessor arrives after it.
-	promotionTravel = PromotionTimeout + 500*time.Millisecond
+	// so that its predecessor has stopped for want of witnesses, and no order
+	// or permit of it is left.
+	promotionTravel = witnessSpan + PromotionTimeout + 500*time.Millisecond
 	// yieldAfter is how long a holder's write stays without an answer before
 	// it gives the lease to an instance that the store answers.
 	yieldAfter = 700 * time.Millisecond
@@ -43,6 +44,8 @@
 	Seen []Evidence
 	// StoreAt is when the store last answered it, zero for never.
 	StoreAt time.Time
+	// Address is where other instances reach it.
+	Address string
 }
 
 // Evidence is what an instance has seen of one primary, in the keeper's time.
@@ -123,6 +126,7 @@
 type member struct {
 	at      time.Time
 	storeAt time.Time
+	address string
 	seen    map[rosemarylb.DatabaseName]Evidence
 }
 
@@ -139,6 +143,7 @@
 	known    bool
 
 	leading     bool
+	token       uint64
 	leadsFrom   time.Time
 	retiring    bool
 	leaseUntil  time.Time
@@ -146,6 +151,8 @@
 	renewAt     time.Time
 
 	freed     uint64
+	deposed   uint64
+	alone     time.Time
 	clean     bool
 	failingAt time.Time
 	writing   bool
@@ -207,6 +214,7 @@
 	k.members[r.From] = member{
 		at:      now,
 		storeAt: r.StoreAt,
+		address: r.Address,
 		seen:    seen,
 	}
 	for id, m := range k.members {
@@ -233,7 +241,7 @@
 // Grants returns the groups whose primaries may be used, false when this
 // instance does not keep.
 func (k Keeper) Grants(now time.Time) ([]Grant, bool) {
-	if !k.leading || !now.Before(k.leaseUntil) {
+	if !k.holds(now) {
 		return nil, false
 	}
 	var grants []Grant
@@ -275,7 +283,8 @@
 		k.freed = k.record.Token
 		k = k.withoutLease("yielded, as the store answers others")
 	}
-	if k.leading && !k.retiring {
+	k = k.withWitnessed(now)
+	if k.holds(now) && !k.retiring {
 		for name := range k.endpoints {
 			k, d = k.decideGroup(name, d, now)
 		}
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"maps"
 	"time"
 
 	"rosemarylb"
@@ -81,6 +82,10 @@
 		// It was given up meanwhile; another instance may hold it already.
 		return k
 	}
+	if k.record.Token != k.token {
+		k.token = k.record.Token
+		k.alone = time.Time{}
+	}
 	until := k.writtenAt.Add(leaseSpan - leaseMargin)
 	if until.After(k.leaseUntil) || !k.leading {
 		k.leaseUntil = until
@@ -146,9 +151,13 @@
 	}
 	next := k.record
 	if now.After(k.leadsFrom.Add(memberSpan)) {
-		next = next.WithMembers(len(k.members))
+		next = next.WithMembers(len(k.members)).WithWitnesses(k.witnesses())
+	}
+	changed := next.Members != k.record.Members || !maps.Equal(next.Witnesses, k.record.Witnesses)
+	if k.rejected(now) {
+		next = next.WithHolder(k.self, k.process, k.address)
+		changed = true
 	}
-	changed := next.Members != k.record.Members
 	for name, w := range k.watches {
 		if w.wanted != (Leadership{}) && w.wanted != next.Groups[name] {
 			next = next.WithLeadership(name, w.wanted)
@@ -165,7 +174,7 @@
 		return false
 	}
 	switch {
-	case k.released(), k.record.Holder == k.self:
+	case k.released(), k.record.Holder == k.self, k.deposed != 0 && k.deposed == k.record.Token:
 		return true
 	default:
 		return !now.Before(k.seenAt.Add(leaseSpan))
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -27,6 +27,9 @@
 	Beat uint64 `json:"beat"`
 	// Members is how many instances asked the holder for permits.
 	Members int `json:"members"`
+	// Witnesses are instances with their addresses: the holder acts only while
+	// enough of them ask it, and enough others may end its reign early.
+	Witnesses map[rosemarylb.InstanceID]string `json:"witnesses,omitempty"`
 	// Groups are the primaries by group.
 	Groups map[rosemarylb.DatabaseName]Leadership `json:"groups"`
 }
@@ -74,6 +77,12 @@
 	return r
 }
 
+// WithWitnesses returns the record with other witnesses.
+func (r Record) WithWitnesses(w map[rosemarylb.InstanceID]string) Record {
+	r.Witnesses = w
+	return r
+}
+
 // WithHolder returns the record taken by another process.
 func (r Record) WithHolder(id rosemarylb.InstanceID, process uint64, address string) Record {
 	r.Holder = id
--- a/internal/failover/keeping/clerks.go
+++ b/internal/failover/keeping/clerks.go
@@ -105,6 +105,7 @@
 	ring    *duty.Ring[Event]
 	latest  *duty.Latest[keeper.Record]
 	clock   rosemarylb.Clock
+	ears    *Ears
 	heard   *duty.Latest[time.Time]
 	version uint64
 	at      time.Time
@@ -133,6 +134,7 @@
 	w.version = o.Version
 	if r, err := keeper.ParseRecord(o.Value); err == nil && o.Version != 0 {
 		w.latest.Store(r)
+		w.ears.Learned(r.Token, w.clock.Now())
 	}
 	w.ring.Put(Observed{
 		Object: o,
--- a/internal/failover/keeping/event.go
+++ b/internal/failover/keeping/event.go
@@ -44,6 +44,10 @@
 	// Released is the token of a lease that this instance has given up without
 	// the store's knowledge, 0 for none.
 	Released uint64
+	// HolderAddress is where the holder that this instance knows of is reached.
+	HolderAddress string
+	// Token is that holder's token.
+	Token uint64
 }
 
 // Released tells that the holder of a token has given the lease up.
@@ -55,6 +59,13 @@
 // Retired has the keeper give the lease back.
 type Retired struct{}
 
+// Deposed tells that enough witnesses of a token's holder have promised to
+// listen to it no more.
+type Deposed struct {
+	// Token is the holder's token.
+	Token uint64
+}
+
 type written struct {
 	outcome rosemarylb.PutOutcome
 	failed  bool
@@ -86,6 +97,7 @@
 func (Questioned) keepingEvent() {}
 func (Retired) keepingEvent()    {}
 func (Released) keepingEvent()   {}
+func (Deposed) keepingEvent()    {}
 func (written) keepingEvent()    {}
 func (unread) keepingEvent()     {}
 func (promoted) keepingEvent()   {}
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -39,6 +39,7 @@
 	probes *probes
 	tickAt time.Time
 	gaveUp *duty.Latest[bool]
+	ears   *Ears
 }
 
 // Option changes a duty under construction.
@@ -65,6 +66,7 @@
 		probes: newProbes(),
 		tickAt: time.Unix(1, 0),
 		gaveUp: duty.NewLatest(false),
+		ears:   &Ears{},
 	}
 	for _, o := range options {
 		o(n)
@@ -82,6 +84,11 @@
 	return n.latest
 }
 
+// Ears returns what this instance hears of the holder as a witness.
+func (n *Keeping) Ears() *Ears {
+	return n.ears
+}
+
 // GaveUp tells whether a retired keeper holds nothing any more.
 func (n *Keeping) GaveUp() *duty.Latest[bool] {
 	return n.gaveUp
@@ -109,6 +116,7 @@
 		latest: n.latest,
 		clock:  n.clock,
 		heard:  heard,
+		ears:   n.ears,
 		at:     n.clock.Now(),
 	}, duty.NewRing[struct{}]("keeper-watch", 1))
 	return []*duty.Duty{main, writer, herald, watch}, func() {
@@ -156,6 +164,8 @@
 		n.keeper = n.keeper.WithRetiring()
 	case Released:
 		n.keeper = n.keeper.WithReleased(e.Token)
+	case Deposed:
+		n.keeper = n.keeper.WithDeposed(e.Token)
 	case written:
 		n.written(e, now)
 	case unread:
@@ -181,12 +191,15 @@
 func (n *Keeping) questioned(e Questioned, now time.Time) {
 	n.keeper = n.keeper.WithReport(e.Report, now)
 	grants, keeps := n.keeper.Grants(now)
+	record := n.keeper.Record()
 	select {
 	case e.Answer <- Answer{
-		Keeps:    keeps,
-		Grants:   grants,
-		Share:    n.keeper.Share(e.Report.From),
-		Released: n.keeper.Released(),
+		Keeps:         keeps,
+		Grants:        grants,
+		Share:         n.keeper.Share(e.Report.From),
+		Released:      n.keeper.Released(),
+		HolderAddress: record.Address,
+		Token:         record.Token,
 	}:
 	default:
 	}
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -40,6 +40,7 @@
 // keeper is silent.
 type Asker struct {
 	self     rosemarylb.InstanceID
+	reached  string
 	clock    rosemarylb.Clock
 	log      *slog.Logger
 	store    rosemarylb.Store
@@ -48,20 +49,31 @@
 	status   *duty.Latest[proxy.Status]
 	tell     *duty.Ring[proxy.Event]
 	address  string
+	token    uint64
+	hint     holder
 	conn     *grpc.ClientConn
 	failures int
 	heardAt  time.Time
 	silent   bool
+	deposeAt time.Time
 	at       time.Time
 }
 
+// holder is where the holder of a token is reached, as another instance told:
+// an instance that the store does not answer learns of it so.
+type holder struct {
+	address string
+	token   uint64
+}
+
 // NewAsker returns a duty that is not yet started; it tells the proxy's ring.
 func NewAsker(
-	self rosemarylb.InstanceID, c rosemarylb.Clock, l *slog.Logger, s rosemarylb.Store,
+	self rosemarylb.InstanceID, address string, c rosemarylb.Clock, l *slog.Logger, s rosemarylb.Store,
 	k *keeping.Keeping, storeAt *duty.Latest[time.Time], p *proxy.Proxy,
 ) *Asker {
 	return &Asker{
 		self:    self,
+		reached: address,
 		clock:   c,
 		log:     l,
 		store:   s,
@@ -112,6 +124,7 @@
 	if now.Sub(a.heardAt) < silentAfter {
 		return
 	}
+	a.depose(now)
 	if !a.silent {
 		a.silent = true
 		a.log.Warn("dependency lost", "dependency", "keeper", "address", a.address, "error", err)
@@ -129,6 +142,7 @@
 
 var (
 	errNoKeeper  = errors.New("no keeper is known")
+	errDeposed   = errors.New("the keeper is deposed")
 	errNotKeeper = errors.New("the instance does not keep")
 )
 
@@ -155,8 +169,17 @@
 		})
 	}
 	if !reply.GetKeeper() {
+		if reply.GetToken() > a.token {
+			a.hint = holder{
+				address: reply.GetHolderAddress(),
+				token:   reply.GetToken(),
+			}
+		}
 		return errNotKeeper
 	}
+	if !a.keeping.Ears().Heard(a.token, now) {
+		return errDeposed
+	}
 	a.tell.Put(proxy.Shared{
 		Share: rosemarylb.Share{
 			Members: int(reply.GetMembers()),
@@ -173,6 +196,7 @@
 	q := &link.PermitRequest{
 		From:        string(a.self),
 		StoreMicros: since(a.storeAt.Load(), now),
+		Address:     a.reached,
 	}
 	for _, s := range a.status.Load().Sights {
 		q.Evidence = append(q.Evidence, &link.Evidence{
@@ -206,10 +230,18 @@
 
 // client returns the client of the keeper's address.
 func (a *Asker) client() (link.KeeperClient, error) {
-	address := a.keeping.Record().Load().Address
+	record := a.keeping.Record().Load()
+	address, token := record.Address, record.Token
+	if a.hint.token > token {
+		address, token = a.hint.address, a.hint.token
+	}
 	if address == "" {
 		return nil, errNoKeeper
 	}
+	if !a.keeping.Ears().Listens(token) {
+		return nil, errDeposed
+	}
+	a.token = token
 	if address != a.address {
 		a.hangUp()
 		a.address = address
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -24,15 +24,17 @@
 
 	clock rosemarylb.Clock
 	ring  *duty.Ring[keeping.Event]
+	ears  *keeping.Ears
 }
 
 // ServePermits answers other instances' questions on a listener. The returned
 // function stops it.
-func ServePermits(listener net.Listener, c rosemarylb.Clock, ring *duty.Ring[keeping.Event]) func() {
+func ServePermits(listener net.Listener, c rosemarylb.Clock, k *keeping.Keeping) func() {
 	s := grpc.NewServer()
 	link.RegisterKeeperServer(s, &permitServer{
 		clock: c,
-		ring:  ring,
+		ring:  k.Ring(),
+		ears:  k.Ears(),
 	})
 	wait := duty.Spawn(func() {
 		_ = s.Serve(listener)
@@ -62,10 +64,18 @@
 	}
 }
 
+// Depose implements link.KeeperServer.
+func (s *permitServer) Depose(_ context.Context, q *link.DeposeRequest) (*link.DeposeReply, error) {
+	return &link.DeposeReply{
+		Promised: s.ears.Promise(q.GetToken(), s.clock.Now()),
+	}, nil
+}
+
 func decodeReport(q *link.PermitRequest, now time.Time) keeper.Report {
 	r := keeper.Report{
 		From:    rosemarylb.InstanceID(q.GetFrom()),
 		StoreAt: before(now, q.GetStoreMicros()),
+		Address: q.GetAddress(),
 	}
 	for _, e := range q.GetEvidence() {
 		r.Seen = append(r.Seen, keeper.Evidence{
@@ -97,10 +107,12 @@
 
 func encodePermits(a keeping.Answer) *link.PermitReply {
 	r := &link.PermitReply{
-		Keeper:   a.Keeps,
-		Members:  uint32(a.Share.Members),
-		Index:    uint32(a.Share.Index),
-		Released: a.Released,
+		Keeper:        a.Keeps,
+		Members:       uint32(a.Share.Members),
+		Index:         uint32(a.Share.Index),
+		Released:      a.Released,
+		HolderAddress: a.HolderAddress,
+		Token:         a.Token,
 	}
 	for _, g := range a.Grants {
 		p := &link.GrantedPermit{
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -131,7 +131,7 @@
 			Endpoints: all,
 		})
 	}))
-	i.run(instance.NewAsker(id.Instance, i.clock, i.log, p.Store, i.keeping, heard, i.proxy).Start())
+	i.run(instance.NewAsker(id.Instance, id.InstanceAddress, i.clock, i.log, p.Store, i.keeping, heard, i.proxy).Start())
 	stopCallers, err := p.Listen(i.proxy)
 	if err != nil {
 		return err
@@ -146,7 +146,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	i.cleanups = append(i.cleanups, instance.ServePermits(instances, i.clock, i.keeping.Ring()))
+	i.cleanups = append(i.cleanups, instance.ServePermits(instances, i.clock, i.keeping))
 	ready, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -22,6 +22,9 @@
 	// with queries under way and without.
 	tickBusy = 5 * time.Millisecond
 	tickIdle = 50 * time.Millisecond
+	// readySpan is how long an instance without a permit stays ready: longer
+	// than a change of primary takes.
+	readySpan = 3 * time.Second
 	// waitingAlarm is how long a query may wait for its answer before the keeper
 	// hears of it.
 	waitingAlarm = 400 * time.Millisecond
@@ -220,16 +223,16 @@
 	if !p.drain.CloseAt.IsZero() {
 		p.closeSeats(now)
 	}
-	p.publish()
+	p.publish(now)
 }
 
-func (p *Proxy) publish() {
+func (p *Proxy) publish(now time.Time) {
 	s := Status{
-		Ready: p.ready(),
+		Ready: p.ready(now),
 		Empty: len(p.seats) == 0,
 	}
 	for _, g := range p.groups {
-		if sight := p.sight(g); sight.Primary != "" {
+		if sight := p.sight(g, now); sight.Primary != "" {
 			s.Sights = append(s.Sights, sight)
 		}
 	}
@@ -238,7 +241,7 @@
 
 // sight returns what was seen of a group's primary; a query that waits long
 // for its answer counts as a failure.
-func (p *Proxy) sight(g *group) Sight {
+func (p *Proxy) sight(g *group, now time.Time) Sight {
 	s := g.sight
 	l, found := p.lanes[g.permit.Primary]
 	if !found || s.Primary != g.permit.Primary || !s.FailingAt.IsZero() {
@@ -246,20 +249,21 @@
 	}
 	for _, k := range l.links {
 		if k.state == linkBusy && k.job != nil && k.job.sentAt.After(s.AnsweredAt) &&
-			p.tickAt.Sub(k.job.sentAt) > waitingAlarm {
+			now.Sub(k.job.sentAt) > waitingAlarm {
 			return s.withFailure(s.Primary, k.job.sentAt)
 		}
 	}
 	return s
 }
 
-// ready reports whether every group's endpoints and primary were known once.
-func (p *Proxy) ready() bool {
+// ready reports whether the instance can serve: it knows a configuration and
+// endpoints, and has or had lately a permit to use some primary.
+func (p *Proxy) ready(now time.Time) bool {
 	if p.catalog.Version == 0 || !p.known || !p.drain.CloseAt.IsZero() {
 		return false
 	}
 	for name := range p.catalog.Groups {
-		if g, found := p.groups[name]; found && g.permit.Primary != "" {
+		if g, found := p.groups[name]; found && now.Before(g.permit.Until.Add(readySpan)) {
 			return true
 		}
 	}
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -153,7 +153,7 @@
 		p.recheck(g, now)
 		p.dispatch(g, now)
 	}
-	p.publish()
+	p.publish(now)
 }
 
 // recheck settles the answers that waited for a permit.
