--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -152,6 +152,8 @@
 
 	freed     uint64
 	deposed   uint64
+	awakeAt   time.Time
+	deafTo    time.Time
 	alone     time.Time
 	clean     bool
 	failingAt time.Time
@@ -203,6 +205,10 @@
 
 // WithReport returns the keeper told what an instance has seen.
 func (k Keeper) WithReport(r Report, now time.Time) Keeper {
+	k = k.withAwake(now)
+	if now.Before(k.deafTo) {
+		return k
+	}
 	k.members = maps.Clone(k.members)
 	if k.members == nil {
 		k.members = map[rosemarylb.InstanceID]member{}
@@ -276,6 +282,7 @@
 // Decide returns what is due now.
 func (k Keeper) Decide(now time.Time) (Keeper, Decision) {
 	var d Decision
+	k = k.withAwake(now)
 	if k.leading && !now.Before(k.leaseUntil) {
 		k = k.withoutLease("expired")
 	}
--- a/internal/failover/keeper/move.go
+++ b/internal/failover/keeper/move.go
@@ -40,12 +40,22 @@
 	downAt     time.Time
 	candidate  rosemarylb.EndpointID
 	refused    rosemarylb.EndpointID
+	ordered    rosemarylb.EndpointID
+	orderedAt  time.Time
 	calling    bool
-	calledAt   time.Time
 	acceptedAt time.Time
 	retryAt    time.Time
 }
 
+// settled reports whether no order to promote another endpoint than the one
+// that leads may take effect any more.
+func (m move) settled(leads rosemarylb.EndpointID, now time.Time) bool {
+	if m.ordered == "" || m.ordered == leads || m.ordered == m.refused && !m.calling {
+		return true
+	}
+	return now.Sub(m.orderedAt) > PromotionTimeout+promotionSpan
+}
+
 // decideGroup decides on one group.
 func (k Keeper) decideGroup(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
 	w := k.watches[name]
@@ -147,7 +157,7 @@
 	k = k.withWatch(name, w)
 	expired := !w.move.ackedAt.IsZero() && !now.Before(w.move.ackedAt.Add(PermitSpan))
 	if id, term, found := w.successor(); found {
-		if !expired {
+		if !expired || !w.move.settled(id, now) {
 			return k, d
 		}
 		return k.endMove(name, id, term, now), d
@@ -206,7 +216,7 @@
 	w := k.watches[name]
 	old := w.move.old
 	s := w.states[old.Primary]
-	if w.move.candidate != "" || !w.move.downAt.IsZero() || w.move.reason == reasonInherited {
+	if w.move.ordered != "" || !w.move.downAt.IsZero() || w.move.reason == reasonInherited {
 		return false
 	}
 	spec, listed := k.endpoint(name, old.Primary)
@@ -287,8 +297,9 @@
 		}
 		w.move.candidate = chosen
 	}
+	w.move.orderedAt = now
+	w.move.ordered = w.move.candidate
 	w.move.calling = true
-	w.move.calledAt = now
 	w.move.retryAt = time.Time{}
 	d.Promotions = append(d.Promotions, rosemarylb.Promotion{
 		Group:    name,
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -18,6 +18,12 @@
 	// answers, waits before it takes a new token: they may have promised to
 	// listen to the old one no more.
 	rejectedAfter = 1500 * time.Millisecond
+	// gapLimit is how long the holder may take between two decisions; after a
+	// longer gap it stood still.
+	gapLimit = 300 * time.Millisecond
+	// gapDeaf is how long after a gap questions are not counted: they may have
+	// been asked before it.
+	gapDeaf = 300 * time.Millisecond
 )
 
 // Quorum returns how many of a number of witnesses beside the holder have to
@@ -46,6 +52,19 @@
 	return chosen
 }
 
+// withAwake returns the keeper that notes when it last decided. One that stood
+// still forgets its witnesses: what they asked before says nothing of now.
+func (k Keeper) withAwake(now time.Time) Keeper {
+	stood := k.leading && now.Sub(k.awakeAt) > gapLimit
+	k.awakeAt = now
+	if stood {
+		k.members = nil
+		k.leadsFrom = now
+		k.deafTo = now.Add(gapDeaf)
+	}
+	return k
+}
+
 // witnessed reports whether enough witnesses ask this instance. While a write
 // may change the witnesses, both lists count.
 func (k Keeper) witnessed(now time.Time) bool {
