--- a/internal/failover/keeper/watch.go
+++ b/internal/failover/keeper/watch.go
@@ -104,7 +104,7 @@
 }
 
 // WithStatus returns the keeper told of an endpoint's state.
-func (k Keeper) WithStatus(a Status, now time.Time) Keeper {
+func (k Keeper) WithStatus(a Status) Keeper {
 	if !k.leading {
 		return k
 	}
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -175,16 +175,16 @@
 	case opened:
 		n.probes.opened(e.id, now)
 	case replied:
-		n.took(n.probes.replied(e, now), now)
+		n.took(n.probes.replied(e, now))
 	case lost:
-		n.took(n.probes.lost(e, now), now)
+		n.took(n.probes.lost(e, now))
 	}
 	n.decide(now)
 }
 
-func (n *Keeping) took(statuses []keeper.Status, now time.Time) {
+func (n *Keeping) took(statuses []keeper.Status) {
 	for _, s := range statuses {
-		n.keeper = n.keeper.WithStatus(s, now)
+		n.keeper = n.keeper.WithStatus(s)
 	}
 }
 
@@ -240,7 +240,7 @@
 	if n.keeper.Leading() {
 		n.tickAt = now.Add(tickInterval)
 	}
-	n.took(n.probes.expire(now, n.keeper.Leading()), now)
+	n.took(n.probes.expire(now, n.keeper.Leading()))
 	n.decide(now)
 }
 
--- a/internal/failover/keeping/model_test.go
+++ b/internal/failover/keeping/model_test.go
@@ -463,7 +463,7 @@
 	}
 	if w.now.Before(n.cutOff[s.id]) || w.now.Before(s.deadTo) {
 		w.after(350*time.Millisecond, func() {
-			back(func() { n.keeper = n.keeper.WithStatus(status, w.now) })
+			back(func() { n.keeper = n.keeper.WithStatus(status) })
 		})
 		return
 	}
@@ -478,7 +478,7 @@
 			Term: s.term,
 			LSN:  rosemarylb.LSN(len(s.log)),
 		}
-		back(func() { n.keeper = n.keeper.WithStatus(status, w.now) })
+		back(func() { n.keeper = n.keeper.WithStatus(status) })
 	})
 }
 
