Pass queries for a primary in another region through an instance there

Change: an instance whose own connections to a primary in another region are taken opens connections to instances there (six at most), which the keeper tells it of. They take the queries in the line protocol, each with its class of service and the time left, as sessions for that primary alone: anything else is refused as not run. They run them on their own connections, under their own permit; the asking instance still counts an answer only under its permit. Instances near the primary pass nothing on, so that no circle can form. A begin and session values are answered there, which spares the transaction a round trip.

--- a/behaviour.go
+++ b/behaviour.go
@@ -229,8 +229,10 @@
 // run on an event loop and may wait for a ring whose duty never waits for the
 // loops.
 type CallerSink interface {
-	// Joined tells of a caller that connected to a database.
-	Joined(id SessionID, database string)
+	// Joined tells of a caller that connected to a database. An instance that
+	// passes queries on names the group, and the endpoint that it takes for the
+	// group's primary.
+	Joined(id SessionID, database string, endpoint EndpointID)
 	// Asked brings a query.
 	Asked(id SessionID, q Query)
 	// Left tells that the caller is gone.
--- a/endpoint.go
+++ b/endpoint.go
@@ -22,6 +22,9 @@
 	Leaving bool
 	// Primary is true when the endpoint last said that it leads.
 	Primary bool
+	// Via is the address of an instance that passes queries on to the endpoint,
+	// empty for a direct connection.
+	Via string
 	// Born rises whenever the endpoint starts anew under its name.
 	Born int64
 }
@@ -32,6 +35,12 @@
 	return e
 }
 
+// WithVia returns the endpoint reached by way of another instance.
+func (e EndpointSpec) WithVia(address string) EndpointSpec {
+	e.Via = address
+	return e
+}
+
 // WithPlace returns the endpoint in a region, with a limit of connections.
 func (e EndpointSpec) WithPlace(region RegionName, connections int) EndpointSpec {
 	e.Region = region
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -1,7 +1,9 @@
 package keeper
 
 import (
+	"hash/fnv"
 	"maps"
+	"slices"
 	"time"
 
 	"rosemarylb"
@@ -46,6 +48,8 @@
 	StoreAt time.Time
 	// Address is where other instances reach it.
 	Address string
+	// Peer is where it takes queries that others pass on.
+	Peer rosemarylb.Peer
 }
 
 // Evidence is what an instance has seen of one primary, in the keeper's time.
@@ -127,6 +131,7 @@
 	at      time.Time
 	storeAt time.Time
 	address string
+	peer    rosemarylb.Peer
 	seen    map[rosemarylb.DatabaseName]Evidence
 }
 
@@ -221,6 +226,7 @@
 		at:      now,
 		storeAt: r.StoreAt,
 		address: r.Address,
+		peer:    r.Peer,
 		seen:    seen,
 	}
 	for id, m := range k.members {
@@ -244,6 +250,25 @@
 	return s
 }
 
+// peerLimit is how many peers an instance is told of.
+const peerLimit = 16
+
+// Peers returns the instances that take queries which others pass on, and the
+// version of that list.
+func (k Keeper) Peers() ([]rosemarylb.Peer, uint64) {
+	var peers []rosemarylb.Peer
+	h := fnv.New64a()
+	for _, id := range slices.Sorted(maps.Keys(k.members)) {
+		p := k.members[id].peer
+		if p.Address == "" || len(peers) >= peerLimit {
+			continue
+		}
+		peers = append(peers, p)
+		_, _ = h.Write([]byte(p.Address + " " + string(p.Region) + " "))
+	}
+	return peers, h.Sum64()
+}
+
 // Grants returns the groups whose primaries may be used, false when this
 // instance does not keep.
 func (k Keeper) Grants(now time.Time) ([]Grant, bool) {
--- a/internal/failover/keeping/event.go
+++ b/internal/failover/keeping/event.go
@@ -48,6 +48,9 @@
 	HolderAddress string
 	// Token is that holder's token.
 	Token uint64
+	// Peers take queries that others pass on; PeersVersion identifies the list.
+	Peers        []rosemarylb.Peer
+	PeersVersion uint64
 }
 
 // Released tells that the holder of a token has given the lease up.
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -192,6 +192,7 @@
 	n.keeper = n.keeper.WithReport(e.Report, now)
 	grants, keeps := n.keeper.Grants(now)
 	record := n.keeper.Record()
+	peers, version := n.keeper.Peers()
 	select {
 	case e.Answer <- Answer{
 		Keeps:         keeps,
@@ -200,6 +201,8 @@
 		Released:      n.keeper.Released(),
 		HolderAddress: record.Address,
 		Token:         record.Token,
+		Peers:         peers,
+		PeersVersion:  version,
 	}:
 	default:
 	}
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -41,6 +41,8 @@
 type Asker struct {
 	self     rosemarylb.InstanceID
 	reached  string
+	peer     rosemarylb.Peer
+	peers    uint64
 	clock    rosemarylb.Clock
 	log      *slog.Logger
 	store    rosemarylb.Store
@@ -68,12 +70,13 @@
 
 // NewAsker returns a duty that is not yet started; it tells the proxy's ring.
 func NewAsker(
-	self rosemarylb.InstanceID, address string, c rosemarylb.Clock, l *slog.Logger, s rosemarylb.Store,
+	self rosemarylb.InstanceID, address string, peer rosemarylb.Peer, c rosemarylb.Clock, l *slog.Logger, s rosemarylb.Store,
 	k *keeping.Keeping, storeAt *duty.Latest[time.Time], p *proxy.Proxy,
 ) *Asker {
 	return &Asker{
 		self:    self,
 		reached: address,
+		peer:    peer,
 		clock:   c,
 		log:     l,
 		store:   s,
@@ -189,14 +192,36 @@
 	a.tell.Put(proxy.Permitted{
 		Permits: permit.FromGrants(decodePermits(reply), now),
 	})
+	a.tellPeers(reply)
 	return nil
 }
 
+// tellPeers passes a new list of peers on to the proxy.
+func (a *Asker) tellPeers(reply *link.PermitReply) {
+	if reply.GetPeersVersion() == 0 {
+		return
+	}
+	a.peers = reply.GetPeersVersion()
+	var peers []rosemarylb.Peer
+	for _, p := range reply.GetPeers() {
+		peers = append(peers, rosemarylb.Peer{
+			Address: p.GetAddress(),
+			Region:  rosemarylb.RegionName(p.GetRegion()),
+		})
+	}
+	a.tell.Put(proxy.Peered{
+		Peers: peers,
+	})
+}
+
 func (a *Asker) question(now time.Time) *link.PermitRequest {
 	q := &link.PermitRequest{
-		From:        string(a.self),
-		StoreMicros: since(a.storeAt.Load(), now),
-		Address:     a.reached,
+		From:         string(a.self),
+		StoreMicros:  since(a.storeAt.Load(), now),
+		Address:      a.reached,
+		RelayAddress: a.peer.Address,
+		Region:       string(a.peer.Region),
+		PeersVersion: a.peers,
 	}
 	for _, s := range a.status.Load().Sights {
 		q.Evidence = append(q.Evidence, &link.Evidence{
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -58,7 +58,7 @@
 	}
 	select {
 	case a := <-answer:
-		return encodePermits(a), nil
+		return encodePermits(a, q.GetPeersVersion()), nil
 	case <-ctx.Done():
 		return nil, errors.Wrap(ctx.Err(), "keeper")
 	}
@@ -76,6 +76,10 @@
 		From:    rosemarylb.InstanceID(q.GetFrom()),
 		StoreAt: before(now, q.GetStoreMicros()),
 		Address: q.GetAddress(),
+		Peer: rosemarylb.Peer{
+			Address: q.GetRelayAddress(),
+			Region:  rosemarylb.RegionName(q.GetRegion()),
+		},
 	}
 	for _, e := range q.GetEvidence() {
 		r.Seen = append(r.Seen, keeper.Evidence{
@@ -105,7 +109,9 @@
 	return max(now.Sub(at).Microseconds(), 0)
 }
 
-func encodePermits(a keeping.Answer) *link.PermitReply {
+// encodePermits encodes an answer to an asker that has a version of the list
+// of peers.
+func encodePermits(a keeping.Answer, known uint64) *link.PermitReply {
 	r := &link.PermitReply{
 		Keeper:        a.Keeps,
 		Members:       uint32(a.Share.Members),
@@ -114,6 +120,15 @@
 		HolderAddress: a.HolderAddress,
 		Token:         a.Token,
 	}
+	if a.Keeps && a.PeersVersion != known {
+		r.PeersVersion = a.PeersVersion
+		for _, p := range a.Peers {
+			r.Peers = append(r.Peers, &link.Peer{
+				Address: p.Address,
+				Region:  string(p.Region),
+			})
+		}
+	}
 	for _, g := range a.Grants {
 		p := &link.GrantedPermit{
 			Group:   string(g.Group),
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -44,6 +44,8 @@
 	Region rosemarylb.RegionName
 	// InstanceAddress is where other instances reach it, host:port.
 	InstanceAddress string
+	// RelayAddress is where it takes queries that others pass on, host:port.
+	RelayAddress string
 	// ReadyAddress is where its readiness is asked for, host:port.
 	ReadyAddress string
 	// MetricsAddress is where metrics and dumps are served, host:port.
@@ -56,6 +58,10 @@
 	Callers rosemarylb.CallerPort
 	// Listen starts to take callers; the function that it returns stops it.
 	Listen func(rosemarylb.CallerSink) (func(), error)
+	// Relays answers instances that pass queries on, and ListenRelays starts to
+	// take them.
+	Relays       rosemarylb.CallerPort
+	ListenRelays func(rosemarylb.CallerSink) (func(), error)
 	// Endpoints reaches endpoints for queries, and Probes for the keeper.
 	Endpoints, Probes rosemarylb.EndpointPort
 	// BindEndpoints and BindProbes set what those ports tell.
@@ -105,7 +111,8 @@
 }
 
 func (i *Instance) start(id Identity, p Peers) error {
-	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithPlace(id.Region, id.Domain))
+	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithPlace(id.Region, id.Domain),
+		proxy.WithRelays(p.Relays))
 	i.keeping = keeping.NewKeeping(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
 		keeping.WithLogger(i.log))
 	p.BindEndpoints(i.proxy)
@@ -131,7 +138,15 @@
 			Endpoints: all,
 		})
 	}))
-	i.run(instance.NewAsker(id.Instance, id.InstanceAddress, i.clock, i.log, p.Store, i.keeping, heard, i.proxy).Start())
+	i.run(instance.NewAsker(id.Instance, id.InstanceAddress, rosemarylb.Peer{
+		Address: id.RelayAddress,
+		Region:  id.Region,
+	}, i.clock, i.log, p.Store, i.keeping, heard, i.proxy).Start())
+	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
+	if err != nil {
+		return err
+	}
+	i.cleanups = append(i.cleanups, stopRelays)
 	stopCallers, err := p.Listen(i.proxy)
 	if err != nil {
 		return err
--- a/internal/traffic/dialogue/ask.go
+++ b/internal/traffic/dialogue/ask.go
@@ -72,6 +72,9 @@
 	switch q.Kind {
 	case rosemarylb.QuerySet:
 		return d.withValue(q.Name, q.Value).done(false)
+	case rosemarylb.QueryReset:
+		d.values, d.prepared, d.key = nil, nil, ""
+		return d.done(false)
 	case rosemarylb.QueryPrepare:
 		return d.withPrepared(q.Name, Prepared{
 			Alias:  Alias(q.Value, q.Writes),
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -17,6 +17,16 @@
 	Session rosemarylb.SessionID
 	// Database is the name that it asked for.
 	Database string
+	// Endpoint is set for a session of another instance, which passes on
+	// queries for the primary of the group that Database names: the endpoint
+	// that it takes for the primary.
+	Endpoint rosemarylb.EndpointID
+}
+
+// Peered tells of the instances that take queries which others pass on.
+type Peered struct {
+	// Peers are the instances.
+	Peers []rosemarylb.Peer
 }
 
 // Asked brings a query of a session.
@@ -88,6 +98,7 @@
 }
 
 func (Joined) proxyEvent()     {}
+func (Peered) proxyEvent()     {}
 func (Asked) proxyEvent()      {}
 func (Left) proxyEvent()       {}
 func (Opened) proxyEvent()     {}
--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -44,7 +44,7 @@
 	if now.Before(l.softUntil) {
 		limit = min(limit, l.softLimit)
 	}
-	return !l.gone && len(l.links) < limit && !now.Before(l.openAt)
+	return !l.gone && l.direct() < limit && !now.Before(l.openAt)
 }
 
 // grow opens one more connection, unless enough are opening.
@@ -52,17 +52,23 @@
 	if !l.openable(p.limit(l), now) || l.count(linkOpening) >= 2 {
 		return
 	}
+	p.add(l, l.spec, now)
+}
+
+// add starts to open a connection.
+func (p *Proxy) add(l *lane, spec rosemarylb.EndpointSpec, now time.Time) {
 	p.number++
 	k := &link{
 		id:       rosemarylb.ConnectionID(p.number),
 		lane:     l,
 		state:    linkOpening,
+		via:      spec.Via != "",
 		until:    now.Add(openTimeout),
 		prepared: map[string]struct{}{},
 	}
 	l.links = append(l.links, k)
 	p.links[k.id] = k
-	p.endpoints.Open(k.id, l.spec)
+	p.endpoints.Open(k.id, spec)
 }
 
 func (p *Proxy) opened(e Opened, now time.Time) {
@@ -85,7 +91,7 @@
 	k.job = nil
 	k.seat = nil
 	l := k.lane
-	if l.gone || l.spec.Leaving || k.closing || len(l.links) > p.limit(l) || len(k.prepared) > preparedLimit {
+	if l.gone || l.spec.Leaving || k.closing || !k.via && l.direct() > p.limit(l) || len(k.prepared) > preparedLimit {
 		p.drop(k, now)
 	}
 	p.dispatch(l.group, now)
@@ -139,6 +145,8 @@
 	p.log.Info("connection lost", "endpoint", l.spec.ID, "connection", k.id, "state", k.state.String(),
 		"code", e.Code.String())
 	switch {
+	case k.via:
+		l.relayAt = now.Add(relayBackoff)
 	case e.Code == rosemarylb.ReplyConnectionLimit:
 		l.softLimit = max(len(l.links), 1)
 		l.softUntil = now.Add(limitSpan)
@@ -183,7 +191,7 @@
 			p.log.Info("transaction ended", "session", s.dialogue.ID(), "reason", "idle", "endpoint", k.lane.spec.ID)
 			p.clean(k, now)
 		case linkIdle:
-			if len(k.lane.links) > 1 {
+			if k.via || k.lane.direct() > 1 {
 				p.drop(k, now)
 			}
 		case linkOpening, linkCleaning:
--- a/internal/traffic/proxy/place.go
+++ b/internal/traffic/proxy/place.go
@@ -168,6 +168,9 @@
 // suits grades a connection: one that has the session's values needs nothing,
 // a fresh one no reset.
 func (k *link) suits(j *job) int {
+	if k.via {
+		return -1
+	}
 	switch k.key {
 	case j.seat.dialogue.Key():
 		return 2
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -44,6 +44,7 @@
 type Proxy struct {
 	log       *slog.Logger
 	callers   rosemarylb.CallerPort
+	relays    rosemarylb.CallerPort
 	endpoints rosemarylb.EndpointPort
 	region    rosemarylb.RegionName
 	domain    rosemarylb.DomainName
@@ -58,6 +59,7 @@
 	seats   map[rosemarylb.SessionID]*seat
 	known   bool
 	joins   []Joined
+	peers   []rosemarylb.Peer
 	number  uint64
 	tickAt  time.Time
 	jobs    int
@@ -153,7 +155,7 @@
 }
 
 // Joined implements rosemarylb.CallerSink.
-func (p *Proxy) Joined(id rosemarylb.SessionID, database string) {
+func (p *Proxy) Joined(id rosemarylb.SessionID, database string, _ rosemarylb.EndpointID) {
 	p.ring.Put(Joined{
 		Session:  id,
 		Database: database,
@@ -196,6 +198,8 @@
 		p.configured(e, now)
 	case Permitted:
 		p.permitted(e, now)
+	case Peered:
+		p.peers = e.Peers
 	case Shared:
 		p.share = e.Share
 	case Drained:
@@ -313,22 +317,23 @@
 		p.joins = append(p.joins, e)
 		return
 	}
-	if _, found := p.catalog.Routes[e.Database]; !found {
+	if _, found := p.catalog.Routes[e.Database]; !found && e.Endpoint == "" {
 		p.log.Info("session refused", "session", e.Session, "database", e.Database,
 			"version", p.catalog.Version, "reason", "no-database")
-		p.callers.Refuse(e.Session, rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
+		p.refuseSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
 		return
 	}
 	if p.closesIdle(now) {
-		p.callers.Refuse(e.Session, rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance shuts down"))
+		p.refuseSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance shuts down"))
 		return
 	}
 	sessionsTotal.Inc()
 	p.seats[e.Session] = &seat{
 		dialogue: dialogue.NewDialogue(e.Session, e.Database),
+		relayFor: e.Endpoint,
 		idleFrom: now,
 	}
-	p.callers.Welcome(e.Session)
+	p.welcome(e.Session)
 }
 
 func (p *Proxy) left(e Left, now time.Time) {
@@ -369,10 +374,10 @@
 
 // begin answers a query itself or sends it on its way.
 func (p *Proxy) begin(s *seat, q rosemarylb.Query, now time.Time) {
-	if s.dialogue.State() == rosemarylb.TransactionNone {
-		route, found := p.catalog.Routes[s.dialogue.Database()]
+	if s.dialogue.State() == rosemarylb.TransactionNone || s.relayFor != "" {
+		route, found := p.route(s, q)
 		if !found {
-			p.callers.Answer(s.dialogue.ID(), rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
+			p.answer(s.dialogue.ID(), rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
 			return
 		}
 		s.route = route
@@ -388,7 +393,7 @@
 			p.log.Info("query refused", "id", q.ID, "kind", q.Kind.String(), "code", v.Reply.Code.String(),
 				"state", d.State().String())
 		}
-		p.callers.Answer(d.ID(), v.Reply)
+		p.answer(d.ID(), v.Reply)
 		return
 	}
 	p.number++
@@ -401,6 +406,15 @@
 	p.start(j, now)
 }
 
+// route returns how a query of a session is served.
+func (p *Proxy) route(s *seat, q rosemarylb.Query) (rosemarylb.Route, bool) {
+	if s.relayFor != "" {
+		return relayRoute(s, q), true
+	}
+	route, found := p.catalog.Routes[s.dialogue.Database()]
+	return route, found
+}
+
 // release gives up the connection of a transaction that has ended.
 func (p *Proxy) release(s *seat, now time.Time) {
 	l := s.link
@@ -411,7 +425,7 @@
 }
 
 func (p *Proxy) hangUp(s *seat, now time.Time) {
-	p.callers.Close(s.dialogue.ID())
+	p.closeSession(s.dialogue.ID())
 	p.left(Left{
 		Session: s.dialogue.ID(),
 	}, now)
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -64,6 +64,11 @@
 // an effect.
 func (p *Proxy) step(j *job, now time.Time) {
 	q := j.steps[0]
+	within := int64(0)
+	if j.link.via {
+		within = max(j.deadline.Sub(now).Milliseconds(), 1)
+	}
+	q = q.WithService(j.route.Rank, within)
 	j.sentAt = now
 	j.sent = len(j.steps) == 1
 	p.endpoints.Send(j.link.id, q)
@@ -106,6 +111,10 @@
 	if k.lane.spec.ID != g.permit.Primary || r.Code == rosemarylb.ReplyReadOnly {
 		return
 	}
+	if r.Position.IsZero() {
+		// The instance in between answered by itself.
+		return
+	}
 	g.sight = g.sight.withAnswer(k.lane.spec.ID, j.sentAt)
 	if g.permit.Covers(r.Position.Term, now) {
 		g.samples = g.samples.WithSample(sample(j.sentAt, r.Position))
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -64,7 +64,7 @@
 	}
 	queryTime.Update(now.Sub(j.arrivedAt).Seconds())
 	s.idleFrom = now
-	p.callers.Answer(s.dialogue.ID(), r.WithState(s.dialogue.State()))
+	p.answer(s.dialogue.ID(), r.WithState(s.dialogue.State()))
 	p.resume(s, now)
 }
 
@@ -216,7 +216,9 @@
 func (p *Proxy) overdue(k *link, now time.Time) {
 	j := k.job
 	p.endpoints.Close(k.id)
-	p.failing(k.lane, now)
+	if !k.via {
+		p.failing(k.lane, now)
+	}
 	p.remove(k)
 	j.link = nil
 	k.job = nil
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -12,6 +12,9 @@
 type seat struct {
 	dialogue dialogue.Dialogue
 	route    rosemarylb.Route
+	// relayFor is the endpoint that another instance passes queries on for,
+	// empty for a caller.
+	relayFor rosemarylb.EndpointID
 	job      *job
 	waiting  []rosemarylb.Query
 	link     *link
@@ -92,6 +95,8 @@
 	prepared map[string]struct{}
 	term     rosemarylb.Term
 	closing  bool
+	// via is true for a connection through another instance.
+	via bool
 }
 
 // lane is one endpoint and the connections to it.
@@ -106,6 +111,7 @@
 	applied   rosemarylb.Position
 	pace      pace
 	openFails int
+	relayAt   time.Time
 	softLimit int
 	softUntil time.Time
 }
--- a/internal/traffic/proxy/wait.go
+++ b/internal/traffic/proxy/wait.go
@@ -173,6 +173,10 @@
 			p.park(g, j, now.Add(parkPause))
 			continue
 		}
+		if j.misplaced(l) {
+			p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyReadOnly, "the endpoint does not lead"), now)
+			continue
+		}
 		p.place(j, l, now)
 	}
 }
@@ -216,7 +220,11 @@
 	if primary.count(linkIdle) > 0 || n == lineCurrent && p.following(primary) != nil {
 		return true
 	}
-	p.grow(primary, now)
+	if primary.openable(p.limit(primary), now) {
+		p.grow(primary, now)
+		return false
+	}
+	p.growRelay(primary, now)
 	return false
 }
 
--- a/member.go
+++ b/member.go
@@ -60,6 +60,14 @@
 	return m
 }
 
+// Peer is an instance that takes queries which others pass on.
+type Peer struct {
+	// Address is where it takes them, host:port.
+	Address string
+	// Region is where it stands.
+	Region RegionName
+}
+
 // Overrides reports whether m is newer knowledge than other.
 func (m Member) Overrides(other Member) bool {
 	if m.Incarnation != other.Incarnation {
--- a/query.go
+++ b/query.go
@@ -71,6 +71,18 @@
 	Wait Position
 	// Term is the term of a pause or a step down.
 	Term Term
+	// Rank and WithinMillis are the class of service and the time left, in
+	// milliseconds, of a query that another instance passes on.
+	Rank         Rank
+	WithinMillis int64
+}
+
+// WithService returns the query passed on with its class of service and the
+// time left.
+func (q Query) WithService(rank Rank, withinMillis int64) Query {
+	q.Rank = rank
+	q.WithinMillis = withinMillis
+	return q
 }
 
 // WithName returns the query for another prepared name.
