Test queries that pass through another instance

Change: the second write to a far primary goes through an instance near it with its time left; a write lost on that way is in doubt; a begin answered in between is no sign of the primary's life; a query for another primary is refused as not run; nothing is passed on twice.

--- a/internal/traffic/proxy/bench_test.go
+++ b/internal/traffic/proxy/bench_test.go
@@ -26,11 +26,13 @@
 	closed   map[rosemarylb.SessionID]bool
 	opening  []rosemarylb.ConnectionID
 	owners   map[rosemarylb.ConnectionID]rosemarylb.EndpointID
+	via      map[rosemarylb.ConnectionID]string
 	sent     []sent
 	log      []sent
 }
 
-// Welcome implements rosemarylb.CallerPort.
+// Welcome implements rosemarylb.CallerPort. Sessions of callers and of other
+// instances share a bench under numbers that differ.
 func (b *bench) Welcome(id rosemarylb.SessionID) { b.welcomed[id] = true }
 
 // Answer implements rosemarylb.CallerPort.
@@ -53,6 +55,7 @@
 // Open implements rosemarylb.EndpointPort.
 func (p ports) Open(id rosemarylb.ConnectionID, e rosemarylb.EndpointSpec) {
 	p.b.owners[id] = e.ID
+	p.b.via[id] = e.Via
 	p.b.opening = append(p.b.opening, id)
 }
 
@@ -118,6 +121,7 @@
 		welcomed: map[rosemarylb.SessionID]bool{},
 		closed:   map[rosemarylb.SessionID]bool{},
 		owners:   map[rosemarylb.ConnectionID]rosemarylb.EndpointID{},
+		via:      map[rosemarylb.ConnectionID]string{},
 	}
 	b.p = NewProxy(b, ports{b: b}, WithPlace("r", "r"))
 	b.handle(Shared{
--- /dev/null
+++ b/internal/traffic/proxy/relay_test.go
@@ -0,0 +1,151 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"rosemarylb"
+)
+
+// farBench returns a bench whose primary stands in another region, with one
+// connection of its own and an instance near the primary.
+func farBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.p.relays = b
+	b.handle(Shared{
+		Share: rosemarylb.Share{
+			Members: 8,
+			Index:   7,
+		},
+	})
+	b.register(spec("e1", "far"))
+	b.handle(Peered{
+		Peers: []rosemarylb.Peer{
+			{
+				Address: "near-me",
+				Region:  "r",
+			},
+			{
+				Address: "near-it",
+				Region:  "far",
+			},
+		},
+	})
+	return b
+}
+
+func TestWritesToAFarPrimaryPassThroughAnInstanceThere(t *testing.T) {
+	b := farBench(t)
+	b.ask(1, rosemarylb.QueryWrite)
+	direct := b.take()
+	if direct.query.WithinMillis != 0 {
+		t.Errorf("got %d ms told to the endpoint, want nothing", direct.query.WithinMillis)
+	}
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryWrite)
+	s := b.take()
+	if got, want := b.via[s.id], "near-it"; got != want {
+		t.Fatalf("got the second write by way of %q, want %q", got, want)
+	}
+	if s.query.WithinMillis <= 0 || s.query.WithinMillis > 800 {
+		t.Errorf("got %d ms left, want the rest of 800", s.query.WithinMillis)
+	}
+	b.reply(s, rosemarylb.ReplyDone, none, position(1, 11))
+	b.wantAnswer(11, rosemarylb.ReplyDone, none)
+}
+
+func TestALostWriteOnTheWayIsInDoubt(t *testing.T) {
+	b := farBench(t)
+	b.ask(1, rosemarylb.QueryWrite)
+	b.take()
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryWrite)
+	b.lose(b.take())
+	b.wantAnswer(11, rosemarylb.ReplyUnknown, none)
+}
+
+func TestAnAnswerOfTheInstanceInBetweenSaysNothingOfThePrimary(t *testing.T) {
+	b := farBench(t)
+	b.ask(1, rosemarylb.QueryWrite)
+	b.take()
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryBegin)
+	b.ask(11, rosemarylb.QueryWrite)
+	before := b.p.groups["g"].sight.AnsweredAt
+	b.pass(10 * time.Millisecond)
+	b.reply(b.take(), rosemarylb.ReplyDone, opened, rosemarylb.Position{})
+	if got := b.p.groups["g"].sight.AnsweredAt; got != before {
+		t.Errorf("got the primary alive at %s by a begin answered in between, want %s", got, before)
+	}
+}
+
+// passOn brings a query of another instance.
+func (b *bench) passOn(id rosemarylb.SessionID, endpoint rosemarylb.EndpointID, kind rosemarylb.QueryKind) {
+	b.handle(Joined{
+		Session:  id | relayBit,
+		Database: "g",
+		Endpoint: endpoint,
+	})
+	q := rosemarylb.Query{
+		ID:     "x",
+		Kind:   kind,
+		Writes: kind == rosemarylb.QueryWrite,
+	}
+	b.handle(Asked{
+		Session: id | relayBit,
+		Query:   q.WithService(rosemarylb.RankUrgent, 500),
+	})
+	b.open()
+}
+
+func TestQueriesThatOthersPassOn(t *testing.T) {
+	b := newBench(t)
+	b.p.relays = b
+	b.passOn(20, "e1", rosemarylb.QueryWrite)
+	s := b.take()
+	if s.to != "e1" || s.query.WithinMillis != 0 {
+		t.Errorf("got %s with %d ms, want e1 told nothing of it", s.to, s.query.WithinMillis)
+	}
+	b.reply(s, rosemarylb.ReplyDone, none, position(1, 11))
+	b.wantAnswer(20, rosemarylb.ReplyDone, none)
+	if r, _ := b.last(20); r.Position != position(1, 11) {
+		t.Errorf("got position %s, want the endpoint's", r.Position)
+	}
+}
+
+func TestAQueryForAnotherPrimaryIsRefusedAsNotRun(t *testing.T) {
+	b := newBench(t)
+	b.p.relays = b
+	b.passOn(20, "e2", rosemarylb.QueryWrite)
+	if r, answered := b.last(20); !answered || !r.Code.NotRun() {
+		t.Errorf("got %v %s, want a refusal as not run", answered, r.Code)
+	}
+	if len(b.sent) != 0 {
+		t.Errorf("got %v sent, want nothing", b.sent)
+	}
+}
+
+func TestNothingIsPassedOnTwice(t *testing.T) {
+	b := newBench(t)
+	b.p.relays = b
+	b.handle(Shared{
+		Share: rosemarylb.Share{
+			Members: 8,
+			Index:   7,
+		},
+	})
+	b.handle(Peered{
+		Peers: []rosemarylb.Peer{{
+			Address: "other",
+			Region:  "r",
+		}},
+	})
+	for id := rosemarylb.SessionID(20); id < 24; id++ {
+		b.passOn(id, "e1", rosemarylb.QueryWrite)
+	}
+	for id, via := range b.via {
+		if via != "" {
+			t.Errorf("got connection %d by way of %s, want none", id, via)
+		}
+	}
+}
