Divide an endpoint's connections among the instances near it

Cause: instances in another region held as many connections to an endpoint as those near it, though their queries now pass through the latter.

Change: an instance in another region keeps one connection to an endpoint; the rest is divided among those in its region, as far as the keeper names them all.

--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -36,7 +36,28 @@
 	for _, c := range l.spec.ID {
 		offset += int(c)
 	}
-	return p.share.Limit(l.spec.Connections-probeReserve, offset)
+	connections := l.spec.Connections - probeReserve
+	near := p.near(l.spec.Region)
+	if near == 0 || len(p.peers) != p.share.Members {
+		return p.share.Limit(connections, offset)
+	}
+	// Those in other regions keep one each: what they need beyond that passes
+	// through instances near the endpoint.
+	if p.region != l.spec.Region {
+		return 1
+	}
+	return max((connections-(len(p.peers)-near))/near, 1)
+}
+
+// near counts the instances in a region that take queries passed on.
+func (p *Proxy) near(r rosemarylb.RegionName) int {
+	n := 0
+	for _, peer := range p.peers {
+		if peer.Region == r {
+			n++
+		}
+	}
+	return n
 }
 
 // openable reports whether one more connection may be opened now.
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -149,3 +149,35 @@
 		}
 	}
 }
+
+func TestConnectionsAreKeptWhereTheEndpointIsNear(t *testing.T) {
+	b := newBench(t)
+	b.register(spec("e1", "r"), spec("e2", "far"))
+	b.handle(Shared{
+		Share: rosemarylb.Share{
+			Members: 4,
+		},
+	})
+	var peers []rosemarylb.Peer
+	for _, region := range []rosemarylb.RegionName{"r", "r", "far", "far"} {
+		peers = append(peers, rosemarylb.Peer{
+			Address: "x",
+			Region:  region,
+		})
+	}
+	b.handle(Peered{
+		Peers: peers,
+	})
+	tests := []struct {
+		endpoint rosemarylb.EndpointID
+		want     int
+	}{
+		{"e1", 3},
+		{"e2", 1},
+	}
+	for _, c := range tests {
+		if got := b.p.limit(b.p.lanes[c.endpoint]); got != c.want {
+			t.Errorf("%s: got %d connections, want %d", c.endpoint, got, c.want)
+		}
+	}
+}
