--- a/internal/traffic/dialogue/dialogue.go
+++ b/internal/traffic/dialogue/dialogue.go
@@ -33,6 +33,7 @@
 	state    rosemarylb.TransactionState
 	readOnly bool
 	begun    bool
+	wrote    bool
 	answered int
 	floor    rosemarylb.Position
 }
@@ -105,9 +106,14 @@
 	return d
 }
 
-// WithoutBegun returns the session whose transaction has to begin anew.
-func (d Dialogue) WithoutBegun() Dialogue {
-	d.begun = false
+// Wrote reports whether the open transaction was asked to write.
+func (d Dialogue) Wrote() bool {
+	return d.wrote
+}
+
+// WithWrite returns the session whose transaction was asked to write.
+func (d Dialogue) WithWrite() Dialogue {
+	d.wrote = true
 	return d
 }
 
@@ -126,6 +132,7 @@
 	}
 	if s == rosemarylb.TransactionNone {
 		d.readOnly = false
+		d.wrote = false
 		d.answered = 0
 	}
 	return d
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -396,6 +396,9 @@
 		p.answer(d.ID(), v.Reply)
 		return
 	}
+	if v.Query.Writes && d.State() == rosemarylb.TransactionOpen {
+		s.dialogue = d.WithWrite()
+	}
 	p.number++
 	j := newJob(p.number, s, v.Query, now)
 	s.job = j
--- a/internal/traffic/proxy/proxy_test.go
+++ b/internal/traffic/proxy/proxy_test.go
@@ -237,6 +237,17 @@
 	b.wantAnswer(1, rosemarylb.ReplyUnknown, none)
 }
 
+func TestALostCommitOfReadsIsAborted(t *testing.T) {
+	b := newBench(t)
+	b.ask(2, rosemarylb.QueryBeginRead)
+	b.ask(2, rosemarylb.QueryRead)
+	b.reply(b.take(), rosemarylb.ReplyDone, opened, position(1, 10))
+	b.reply(b.take(), rosemarylb.ReplyDone, opened, position(1, 10))
+	b.ask(2, rosemarylb.QueryCommit)
+	b.lose(b.take())
+	b.wantAnswer(2, rosemarylb.ReplyAborted, none)
+}
+
 func TestATransactionDoesNotOutliveItsPrimary(t *testing.T) {
 	b, _ := inTransaction(t)
 	b.permit("e2", 2, time.Second)
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -37,6 +37,8 @@
 	g := k.lane.group
 	j.attempts++
 	j.link = k
+	j.at = k.lane.spec.ID
+	j.wait = rosemarylb.Position{}
 	j.sent = false
 	j.term = 0
 	switch {
@@ -57,6 +59,7 @@
 	}
 	wait, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
 	rosemarylb.Invariantf(covered, "%s was placed on a replica without a position to see", j.query.ID)
+	j.wait = wait
 	return j.query.WithWait(wait)
 }
 
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -60,29 +60,51 @@
 	}
 	s.job = nil
 	if r.Code != rosemarylb.ReplyDone {
-		p.finishRefused(j, r)
+		p.finishRefused(j)
 	}
+	p.note(j, r, now)
 	queryTime.Update(now.Sub(j.arrivedAt).Seconds())
 	s.idleFrom = now
 	p.answer(s.dialogue.ID(), r.WithState(s.dialogue.State()))
 	p.resume(s, now)
 }
 
-// finishRefused ends the transaction of a query that was not answered, and
-// notes why.
-func (p *Proxy) finishRefused(j *job, r rosemarylb.Reply) {
+// finishRefused ends the transaction of a query that was not answered.
+func (p *Proxy) finishRefused(j *job) {
 	s := j.seat
-	if s.dialogue.State() == rosemarylb.TransactionOpen {
-		next := rosemarylb.TransactionFailed
-		if j.query.Kind == rosemarylb.QueryCommit {
-			next = rosemarylb.TransactionNone
-		}
-		s.dialogue = s.dialogue.WithState(next)
+	if s.dialogue.State() != rosemarylb.TransactionOpen {
+		return
+	}
+	next := rosemarylb.TransactionFailed
+	if j.query.Kind == rosemarylb.QueryCommit {
+		next = rosemarylb.TransactionNone
 	}
+	s.dialogue = s.dialogue.WithState(next)
+}
+
+// note logs what became of a query, and what decided it.
+func (p *Proxy) note(j *job, r rosemarylb.Reply, now time.Time) {
 	g := p.group(j.route.Group)
-	p.log.Info("query failed", "id", j.query.ID, "kind", j.query.Kind.String(), "code", r.Code.String(),
-		"reason", r.Text, "attempts", j.attempts, "sent", j.sent, "primary", g.permit.Primary,
-		"term", g.permit.Term, "group", g.name, "took-us", 0)
+	event := "query failed"
+	if r.Code == rosemarylb.ReplyDone {
+		event = "query served"
+	}
+	p.log.Info(event, "id", j.query.ID, "kind", j.query.Kind.String(), "code", r.Code.String(), "reason", r.Text,
+		"group", g.name, "rank", j.route.Rank.String(), "attempts", j.attempts, "sent", j.sent, "endpoint", j.at,
+		"term", j.term, "wait", j.wait.String(), "primary", g.permit.Primary, "permit-term", g.permit.Term,
+		"permit-age-ms", now.Sub(g.permit.AskedAt).Milliseconds(), "waiting", g.waiting(),
+		"version", p.catalog.Version, "took-ms", now.Sub(j.arrivedAt).Milliseconds())
+}
+
+// waiting counts the queries that wait for a connection.
+func (g *group) waiting() int {
+	n := len(g.parked)
+	for _, q := range g.lines {
+		for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
+			n += q.Depth(rank)
+		}
+	}
+	return n
 }
 
 // resume starts the next query that a session sent meanwhile.
@@ -121,7 +143,7 @@
 
 // unanswered gives the outcome of a query that was sent and not answered.
 func (p *Proxy) unanswered(j *job, now time.Time) {
-	if j.sent && j.query.MayCommit(j.inside) {
+	if j.sent && j.mayLast() {
 		p.finish(j, rosemarylb.NewReply(rosemarylb.ReplyUnknown, "sent, and the answer was lost"), now)
 		return
 	}
@@ -180,7 +202,7 @@
 	j := h.job
 	p.log.Info("answer not confirmed", "id", j.query.ID, "kind", j.query.Kind.String(), "term", j.term,
 		"age-ms", now.Sub(h.at).Milliseconds())
-	if h.reply.Code != rosemarylb.ReplyDone && !j.query.MayCommit(j.inside) {
+	if h.reply.Code != rosemarylb.ReplyDone && !j.mayLast() {
 		p.deliver(j, h.reply, now)
 		return
 	}
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -37,6 +37,8 @@
 	parkedTo  time.Time
 	avoid     []rosemarylb.EndpointID
 	link      *link
+	at        rosemarylb.EndpointID
+	wait      rosemarylb.Position
 	steps     []rosemarylb.Query
 	sent      bool
 	sentAt    time.Time
@@ -53,6 +55,12 @@
 	return !j.query.Writes && j.query.Kind != rosemarylb.QueryCommit
 }
 
+// mayLast reports whether the job can make changes last: a single write, or
+// the commit of a transaction that wrote.
+func (j *job) mayLast() bool {
+	return j.query.MayCommit(j.inside) && (!j.inside || j.seat.dialogue.Wrote())
+}
+
 // avoids reports whether an endpoint could not serve the job before.
 func (j *job) avoids(id rosemarylb.EndpointID) bool {
 	for _, a := range j.avoid {
