--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -21,8 +21,10 @@
 	// settlePause is the least time between two looks at the endpoints, whose
 	// entries change all the time.
 	settlePause = 700 * time.Millisecond
-	// failurePause is the wait after a call that failed.
-	failurePause = 250 * time.Millisecond
+	// failurePause is the wait after a call that failed; it doubles up to the
+	// limit while calls go on failing, as refused calls are paid for too.
+	failurePause      = 250 * time.Millisecond
+	failurePauseLimit = time.Second
 	// missingSpan is how long an endpoint that is no longer listed is kept:
 	// entries that ran out while the store was away come back within it.
 	missingSpan = 2500 * time.Millisecond
@@ -39,6 +41,12 @@
 	at        time.Time
 	reachable bool
 	heard     *duty.Latest[time.Time]
+	failures  int
+}
+
+// pauseAfter returns the wait after a number of failures in a row.
+func pauseAfter(failures int) time.Duration {
+	return min(failurePause<<min(failures-1, 4), failurePauseLimit)
 }
 
 // missing is an endpoint that is no longer listed.
@@ -74,7 +82,8 @@
 	next, err := e.look()
 	if err != nil {
 		e.noteReachable(false, err)
-		e.at = now.Add(failurePause)
+		e.failures++
+		e.at = now.Add(pauseAfter(e.failures))
 		if errors.Is(err, rosemarylb.ErrHistory) {
 			e.listing = e.listing.WithChanges(0, nil, nil)
 			e.at = now
@@ -82,6 +91,7 @@
 		return
 	}
 	e.noteReachable(true, nil)
+	e.failures = 0
 	e.heard.Store(e.clock.Now())
 	e.at = now.Add(settlePause)
 	e.keep(next, now)
@@ -155,6 +165,7 @@
 	version   uint64
 	at        time.Time
 	reachable bool
+	failures  int
 }
 
 // StartConfiguration runs a duty that tells of each configuration. The
@@ -178,7 +189,8 @@
 func (c *Configuration) Tick(now time.Time) {
 	next, revision, err := c.look()
 	if err != nil {
-		c.at = now.Add(failurePause)
+		c.failures++
+		c.at = now.Add(pauseAfter(c.failures))
 		if c.reachable {
 			c.log.Warn("dependency lost", "dependency", "configuration", "error", err)
 		}
@@ -190,6 +202,7 @@
 		c.log.Info("dependency regained", "dependency", "configuration")
 	}
 	c.reachable = true
+	c.failures = 0
 	c.at = now
 	if revision == 0 {
 		c.at = now.Add(failurePause)
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -28,6 +28,9 @@
 	// silentAfter is how long the keeper may be silent before the store is
 	// asked in its place.
 	silentAfter = 250 * time.Millisecond
+	// readInterval is the time between two reads of the store: two fit into the
+	// span of a permit.
+	readInterval = 200 * time.Millisecond
 	// readTimeout bounds one read of the store.
 	readTimeout = 400 * time.Millisecond
 	// redialAfter is how many questions in a row may fail on one connection.
@@ -58,6 +61,7 @@
 	heardAt  time.Time
 	silent   bool
 	deposeAt time.Time
+	readAt   time.Time
 	at       time.Time
 }
 
@@ -132,7 +136,10 @@
 		a.silent = true
 		a.log.Warn("dependency lost", "dependency", "keeper", "address", a.address, "error", err)
 	}
-	a.read()
+	if now.Sub(a.readAt) >= readInterval {
+		a.readAt = now
+		a.read()
+	}
 }
 
 func (a *Asker) noteHeard(now time.Time) {
