--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -43,7 +43,7 @@
 // keeper is silent.
 type Asker struct {
 	self     rosemarylb.InstanceID
-	reached  string
+	own      string
 	peer     rosemarylb.Peer
 	peers    uint64
 	clock    rosemarylb.Clock
@@ -79,7 +79,7 @@
 ) *Asker {
 	return &Asker{
 		self:    self,
-		reached: address,
+		own:     address,
 		peer:    peer,
 		clock:   c,
 		log:     l,
@@ -225,7 +225,7 @@
 	q := &link.PermitRequest{
 		From:         string(a.self),
 		StoreMicros:  since(a.storeAt.Load(), now),
-		Address:      a.reached,
+		Address:      a.own,
 		RelayAddress: a.peer.Address,
 		Region:       string(a.peer.Region),
 		PeersVersion: a.peers,
--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -98,7 +98,6 @@
 		p.endpoints.Close(e.Connection)
 		return
 	}
-	k.lane.openFails = 0
 	p.free(k, now)
 }
 
@@ -169,14 +168,13 @@
 	case k.via:
 		l.relayAt = now.Add(relayBackoff)
 	case e.Code == rosemarylb.ReplyConnectionLimit:
-		l.softLimit = max(len(l.links), 1)
+		l.softLimit = max(l.direct(), 1)
 		l.softUntil = now.Add(limitSpan)
 		l.openAt = now.Add(limitBackoff)
 	case e.Code == rosemarylb.ReplyWrongEndpoint:
 		l.openAt = now.Add(time.Second)
 		l.avoidTo = now.Add(time.Second)
 	case opening:
-		l.openFails++
 		l.openAt = now.Add(openBackoff)
 		p.failing(l, now)
 	default:
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -285,7 +285,6 @@
 	p.seats[e.Session] = &seat{
 		dialogue: dialogue.NewDialogue(e.Session, e.Database),
 		relayFor: e.Endpoint,
-		idleFrom: now,
 	}
 	p.welcome(e.Session)
 }
@@ -338,7 +337,6 @@
 	}
 	d, v := s.dialogue.WithQuery(q)
 	s.dialogue = d
-	s.idleFrom = now
 	if v.Release {
 		p.release(s, now)
 	}
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -236,10 +236,7 @@
 	if j.inside && !j.begin {
 		return false
 	}
-	if code.NotRun() || code == rosemarylb.ReplyAborted {
-		return true
-	}
-	return false
+	return code.NotRun() || code == rosemarylb.ReplyAborted
 }
 
 const (
@@ -282,8 +279,6 @@
 		return
 	}
 	if pause == 0 {
-		g.jobs[j.number] = j
-		delete(g.jobs, j.number)
 		p.enqueue(g, j, now)
 		return
 	}
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -64,7 +64,6 @@
 	}
 	p.note(j, r, now)
 	queryTime.Update(now.Sub(j.arrivedAt).Seconds())
-	s.idleFrom = now
 	p.answer(s.dialogue.ID(), r.WithState(s.dialogue.State()))
 	p.resume(s, now)
 }
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -18,7 +18,6 @@
 	job      *job
 	waiting  []rosemarylb.Query
 	link     *link
-	idleFrom time.Time
 }
 
 // job is one query on its way through an endpoint.
@@ -118,7 +117,6 @@
 	behindTo  time.Time
 	applied   rosemarylb.Position
 	pace      pace
-	openFails int
 	relayAt   time.Time
 	softLimit int
 	softUntil time.Time
