Send a parked query once

A query whose pause was over was refused as late; its session had sent another one meanwhile, which began at once and looked at the parked queries anew, while the first look was still under way: both had each of them wait in line. A write could be sent twice; the invariant stopped the process before or after that. Only sessions that send ahead have a next query at hand: reads that follow each other through another instance do.

Change: the parked queries are taken off before they are looked at, and one whose caller is gone meanwhile is passed over.

--- a/internal/traffic/proxy/bench_test.go
+++ b/internal/traffic/proxy/bench_test.go
@@ -28,7 +28,7 @@
 	owners   map[rosemarylb.ConnectionID]rosemarylb.EndpointID
 	via      map[rosemarylb.ConnectionID]string
 	sent     []sent
-	log      []sent
+	asked    int
 }
 
 // Welcome implements rosemarylb.CallerPort. Sessions of callers and of other
@@ -67,7 +67,6 @@
 		query: q,
 	}
 	p.b.sent = append(p.b.sent, s)
-	p.b.log = append(p.b.log, s)
 }
 
 // Close implements rosemarylb.EndpointPort.
@@ -178,10 +177,11 @@
 
 // ask has a session send a query, and opens the connections that it needs.
 func (b *bench) ask(id rosemarylb.SessionID, kind rosemarylb.QueryKind) {
+	b.asked++
 	b.handle(Asked{
 		Session: id,
 		Query: rosemarylb.Query{
-			ID:     "q" + strconv.Itoa(len(b.log)),
+			ID:     "q" + strconv.Itoa(b.asked),
 			Kind:   kind,
 			Writes: kind == rosemarylb.QueryWrite,
 		},
--- a/internal/traffic/proxy/proxy_test.go
+++ b/internal/traffic/proxy/proxy_test.go
@@ -404,3 +404,32 @@
 		t.Error("got a session left, want none")
 	}
 }
+
+func TestAParkedWriteIsSentOnceThoughAnotherIsRefusedBesideIt(t *testing.T) {
+	b := newBench(t)
+	b.permit("e1", 1, 5*time.Second)
+	b.join(11, "primary")
+	b.ask(1, rosemarylb.QueryWrite)
+	first := b.take()
+	b.ask(1, rosemarylb.QueryWrite)
+	b.pass(200 * time.Millisecond)
+	b.ask(11, rosemarylb.QueryWrite)
+	second := b.take()
+	b.pass(190 * time.Millisecond)
+	b.reply(first, rosemarylb.ReplyBusy, none, position(1, 10))
+	b.reply(second, rosemarylb.ReplyBusy, none, position(1, 10))
+	b.pass(30 * time.Millisecond)
+	b.wantAnswer(1, rosemarylb.ReplyBusy, none)
+	counts := map[string]int{}
+	for len(b.sent) > 0 {
+		s := b.take()
+		counts[s.query.ID]++
+		b.reply(s, rosemarylb.ReplyDone, none, position(1, 11))
+	}
+	if counts[second.query.ID] != 1 {
+		t.Errorf("got the write %s sent %d times, want once", second.query.ID, counts[second.query.ID])
+	}
+	if got := b.p.jobs; got != 0 {
+		t.Errorf("got %d queries under way at the end, want 0", got)
+	}
+}
--- a/internal/traffic/proxy/wait.go
+++ b/internal/traffic/proxy/wait.go
@@ -140,16 +140,20 @@
 	g.parked = append(g.parked, j)
 }
 
+// unpark has the queries whose pause is over wait in line again. The list is
+// taken first: a refusal may start another query, which comes here anew.
 func (p *Proxy) unpark(g *group, now time.Time) {
-	var still []*job
-	for _, j := range g.parked {
+	parked := g.parked
+	g.parked = nil
+	for _, j := range parked {
 		if now.Before(j.parkedTo) {
-			still = append(still, j)
+			g.parked = append(g.parked, j)
 			continue
 		}
-		p.enqueue(g, j, now)
+		if !j.orphan() {
+			p.enqueue(g, j, now)
+		}
 	}
-	g.parked = still
 }
 
 // dispatch gives the connections of a group to waiting queries, the most
