--- a/catalog.go
+++ b/catalog.go
@@ -1,7 +1,5 @@
 package rosemarylb
 
-import "time"
-
 // Consistency says what a route's reads have to see.
 type Consistency uint8
 
@@ -67,56 +65,3 @@
 func (c Catalog) Supersedes(other Catalog) bool {
 	return c.Version > other.Version
 }
-
-// Permit allows an instance to use the primary of a group until a deadline:
-// nobody else is promoted before it.
-type Permit struct {
-	// Group is the replicated database.
-	Group DatabaseName
-	// Primary is its primary.
-	Primary EndpointID
-	// Term is the primary's term.
-	Term Term
-	// AskedAt is when the instance asked for it.
-	AskedAt time.Time
-	// Until is when it ends.
-	Until time.Time
-	// Position is a position of the primary's log, zero if not told.
-	Position Position
-	// PositionAt is a time as of which Position holds every acknowledged
-	// commit.
-	PositionAt time.Time
-}
-
-// WithPosition returns the permit that also tells a position of the primary.
-func (p Permit) WithPosition(pos Position, at time.Time) Permit {
-	p.Position = pos
-	p.PositionAt = at
-	return p
-}
-
-// Covers reports whether the permit holds for a term at a time.
-func (p Permit) Covers(t Term, now time.Time) bool {
-	return p.Term == t && p.Primary != "" && now.Before(p.Until)
-}
-
-// Share is the part of an endpoint's connections that an instance may hold.
-type Share struct {
-	// Members is how many instances share them.
-	Members int
-	// Index numbers this instance among them, from 0.
-	Index int
-}
-
-// Limit returns how many of a number of connections the instance may hold, at
-// least one. The remainder goes to some instances, others for each offset.
-func (s Share) Limit(connections, offset int) int {
-	if s.Members < 1 {
-		return 1
-	}
-	limit := connections / s.Members
-	if (s.Index+offset)%s.Members < connections%s.Members {
-		limit++
-	}
-	return max(limit, 1)
-}
