Join what stood twice: handlers that only take events, roll backs, ages

Cause: reading the change.

Change: duty.Passive is embedded by the handlers; release is called by a caller's end and by an answer that is not confirmed; the codec's ages are read by before. Encoding of ages is left: the codec lets a negative age stand for none, the permits' question takes it for now.

--- a/internal/failover/keeping/clerks.go
+++ b/internal/failover/keeping/clerks.go
@@ -27,6 +27,8 @@
 
 // scribe writes and reads the record, one call at a time.
 type scribe struct {
+	duty.Passive
+
 	store rosemarylb.Store
 	ring  *duty.Ring[Event]
 }
@@ -57,21 +59,10 @@
 	})
 }
 
-// Tick implements duty.Handler.
-func (scribe) Tick(time.Time) {}
-
-// Next implements duty.Handler.
-func (scribe) Next() time.Time {
-	return time.Time{}
-}
-
-// Dump implements duty.Handler.
-func (scribe) Dump() any {
-	return nil
-}
-
 // herald carries orders to promote, one at a time.
 type herald struct {
+	duty.Passive
+
 	promoter rosemarylb.Promoter
 	ring     *duty.Ring[Event]
 }
@@ -86,19 +77,6 @@
 	})
 }
 
-// Tick implements duty.Handler.
-func (herald) Tick(time.Time) {}
-
-// Next implements duty.Handler.
-func (herald) Next() time.Time {
-	return time.Time{}
-}
-
-// Dump implements duty.Handler.
-func (herald) Dump() any {
-	return nil
-}
-
 // watcher follows the record.
 type watcher struct {
 	store   rosemarylb.Store
--- a/internal/peer/endpoint/loops.go
+++ b/internal/peer/endpoint/loops.go
@@ -105,6 +105,8 @@
 
 // dialer opens sockets, one at a time.
 type dialer struct {
+	duty.Passive
+
 	loops *Loops
 }
 
@@ -128,19 +130,6 @@
 	}
 }
 
-// Tick implements duty.Handler.
-func (dialer) Tick(time.Time) {}
-
-// Next implements duty.Handler.
-func (dialer) Next() time.Time {
-	return time.Time{}
-}
-
-// Dump implements duty.Handler.
-func (dialer) Dump() any {
-	return nil
-}
-
 // handler passes the events of the loops to the connections.
 type handler struct {
 	gnet.BuiltinEventEngine
--- a/internal/peer/instance/codec.go
+++ b/internal/peer/instance/codec.go
@@ -163,17 +163,13 @@
 	}
 	s := m.GetState()
 	state := rosemarylb.EndpointState{
-		ID:      rosemarylb.EndpointID(s.GetId()),
-		Primary: s.GetPrimary(),
-		Term:    rosemarylb.Term(s.GetTerm()),
-		Log:     decodePosition(s.GetLog()),
-		Applied: decodePosition(s.GetApplied()),
-	}
-	if s.GetAgeMicros() >= 0 {
-		state.AskedAt = now.Add(-time.Duration(s.GetAgeMicros()) * time.Microsecond)
-	}
-	if s.GetCurrentMicros() >= 0 {
-		state.CurrentAt = now.Add(-time.Duration(s.GetCurrentMicros()) * time.Microsecond)
+		ID:        rosemarylb.EndpointID(s.GetId()),
+		Primary:   s.GetPrimary(),
+		Term:      rosemarylb.Term(s.GetTerm()),
+		Log:       decodePosition(s.GetLog()),
+		Applied:   decodePosition(s.GetApplied()),
+		AskedAt:   before(now, s.GetAgeMicros()),
+		CurrentAt: before(now, s.GetCurrentMicros()),
 	}
 	return rosemarylb.Outcome{
 		ID:       decodeID(m.GetId()),
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -75,6 +75,8 @@
 
 // writer writes lines on a thread of its own.
 type writer struct {
+	duty.Passive
+
 	out     io.Writer
 	mu      sync.Mutex
 	sinceAt time.Time
@@ -103,19 +105,6 @@
 	w.mark(time.Time{})
 }
 
-// Tick implements duty.Handler.
-func (*writer) Tick(time.Time) {}
-
-// Next implements duty.Handler.
-func (*writer) Next() time.Time {
-	return time.Time{}
-}
-
-// Dump implements duty.Handler.
-func (*writer) Dump() any {
-	return nil
-}
-
 // book counts the lines of each event in the current span.
 type book struct {
 	mu      sync.Mutex
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -50,9 +50,7 @@
 	if j != nil && j.link == nil {
 		p.forget(j)
 	}
-	if s.link != nil && s.link.state == linkLeased {
-		p.clean(s.link, now)
-	}
+	p.release(s, now)
 }
 
 // asked takes a query of a session; those that come before an answer wait.
@@ -119,11 +117,9 @@
 
 // release gives up the connection of a transaction that has ended.
 func (p *Proxy) release(s *seat, now time.Time) {
-	l := s.link
-	if l == nil {
-		return
+	if s.link != nil {
+		p.clean(s.link, now)
 	}
-	p.clean(l, now)
 }
 
 func (p *Proxy) hangUp(s *seat, now time.Time) {
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -206,9 +206,7 @@
 		return
 	}
 	s := j.seat
-	if s.link != nil {
-		p.clean(s.link, now)
-	}
+	p.release(s, now)
 	if !j.inside && j.onlyReads() && now.Before(j.deadline) {
 		p.enqueue(p.group(j.route.Group), j, now)
 		return
