Move a primary only when most instances miss it; use it again once it leads

A failure of an earlier term, or one that nothing followed, counted against a primary for ever, and one instance that failed outvoted others that had simply asked nothing. And a primary that refused one write was not used again in its term. Reads were sent on connections through other instances to a former primary, which answered MALFORMED to the caller.

A refusal is lifted once the keeper has asked the endpoint since and it leads. Connections through other instances close when the primary changes.

--- a/internal/failover/keeper/move.go
+++ b/internal/failover/keeper/move.go
@@ -226,8 +226,7 @@
 	if !listed || spec.Leaving || !s.leads(old.Term) || !s.askedAt.After(w.move.startedAt) {
 		return false
 	}
-	reach, miss := k.failing(name, old, now)
-	return miss <= reach
+	return !k.unreachable(name, old, now)
 }
 
 // endMove names the primary that stands.
--- a/internal/failover/keeper/watch.go
+++ b/internal/failover/keeper/watch.go
@@ -151,33 +151,37 @@
 	return at
 }
 
-// heard reports whether enough instances told lately what they see: an
-// instance that is alone cut off moves nothing.
-func (k Keeper) heard(now time.Time) bool {
-	recent := 0
+// recent counts the instances that told lately what they see.
+func (k Keeper) recent(now time.Time) int {
+	n := 0
 	for _, m := range k.members {
 		if now.Sub(m.at) <= reportSpan {
-			recent++
+			n++
 		}
 	}
+	return n
+}
+
+// heard reports whether enough instances told lately what they see: an
+// instance that is alone cut off moves nothing.
+func (k Keeper) heard(now time.Time) bool {
+	recent := k.recent(now)
 	return recent*2 >= len(k.members) && recent > 0
 }
 
-// failing counts the instances that reach the primary and those that do not.
-func (k Keeper) failing(name rosemarylb.DatabaseName, l Leadership, now time.Time) (reach, miss int) {
+// unreachable reports whether most instances fail to reach the primary. Those
+// that have not tried count for it: a few failures on a quiet database are no
+// reason to move it.
+func (k Keeper) unreachable(name rosemarylb.DatabaseName, l Leadership, now time.Time) bool {
+	failing := 0
 	for _, m := range k.members {
 		e := m.seen[name]
-		if e.Primary != l.Primary || now.Sub(m.at) > reportSpan {
-			continue
-		}
-		switch {
-		case !e.FailingAt.IsZero() && now.Sub(e.FailingAt) > deadAfter:
-			miss++
-		case now.Sub(e.AnsweredAt) < deadAfter:
-			reach++
+		lately := e.Primary == l.Primary && now.Sub(m.at) <= reportSpan
+		if lately && !e.FailingAt.IsZero() && now.Sub(e.FailingAt) > deadAfter {
+			failing++
 		}
 	}
-	return reach, miss
+	return failing*2 > k.recent(now)
 }
 
 // verdict returns why a group's primary has to be replaced, empty if it need
@@ -201,7 +205,7 @@
 	case s.failures >= pauseProbes && silent > pauseAfter:
 		return reasonSilent
 	}
-	if reach, miss := k.failing(name, l, now); miss > reach {
+	if k.unreachable(name, l, now) {
 		return "unreachable for most"
 	}
 	return ""
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -23,9 +23,6 @@
 	// readySpan is how long an instance without a permit stays ready: longer
 	// than a change of primary takes.
 	readySpan = 3 * time.Second
-	// waitingAlarm is how long a query may wait for its answer before the keeper
-	// hears of it.
-	waitingAlarm = 400 * time.Millisecond
 	// queueLimit is how many queries of a rank may wait for a group.
 	queueLimit = 512
 )
@@ -193,23 +190,6 @@
 	p.status.Store(s)
 }
 
-// sight returns what was seen of a group's primary; a query that waits long
-// for its answer counts as a failure.
-func (p *Proxy) sight(g *group, now time.Time) Sight {
-	s := g.sight
-	l, found := p.lanes[g.permit.Primary]
-	if !found || s.Primary != g.permit.Primary || !s.FailingAt.IsZero() {
-		return s
-	}
-	for _, k := range l.links {
-		if k.state == linkBusy && k.job != nil && k.job.sentAt.After(s.AnsweredAt) &&
-			now.Sub(k.job.sentAt) > waitingAlarm {
-			return s.withFailure(s.Primary, k.job.sentAt)
-		}
-	}
-	return s
-}
-
 // ready reports whether the instance can serve: it knows a configuration and
 // endpoints, and has or had lately a permit to use some primary.
 func (p *Proxy) ready(now time.Time) bool {
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -119,6 +119,24 @@
 	p.add(l, l.spec.WithVia(peer.Address), now)
 }
 
+// closeRelays closes the connections through other instances to a former
+// primary: what they pass on is for primaries alone.
+func (p *Proxy) closeRelays(former rosemarylb.EndpointID, now time.Time) {
+	l, found := p.lanes[former]
+	if !found {
+		return
+	}
+	for _, k := range l.links {
+		if !k.via {
+			continue
+		}
+		k.closing = true
+		if k.state == linkIdle {
+			p.drop(k, now)
+		}
+	}
+}
+
 // relays counts the connections through other instances.
 func (l *lane) relays() int {
 	n := 0
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -181,3 +181,24 @@
 		}
 	}
 }
+
+func TestAReadTakesNoConnectionThroughAnotherInstanceToAFormerPrimary(t *testing.T) {
+	b := farBench(t)
+	b.ask(1, rosemarylb.QueryWrite)
+	direct := b.take()
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryWrite)
+	relayed := b.take()
+	b.reply(relayed, rosemarylb.ReplyDone, none, position(1, 11))
+	b.register(spec("e1", "far"), spec("e2", "far"))
+	b.permit("e2", 2, time.Second)
+	b.reply(direct, rosemarylb.ReplyDone, none, position(1, 12))
+	for id := rosemarylb.SessionID(2); id < 4; id++ {
+		b.ask(id, rosemarylb.QueryRead)
+	}
+	for _, s := range b.sent {
+		if b.via[s.id] != "" && s.to != "e2" {
+			t.Errorf("got %s for the replica %s sent through %s, want it sent directly", s.query.Kind, s.to, b.via[s.id])
+		}
+	}
+}
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -267,6 +267,7 @@
 		pause = demotedPause
 		g.sight = g.sight.withFailure(l.spec.ID, now)
 		g.demoted = max(g.demoted, j.term)
+		g.demotedAt = now
 	case rosemarylb.ReplyNoStatement:
 	default:
 		pause = busyPause
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -163,11 +163,19 @@
 		if n.Term > g.permit.Term || n.Primary != g.permit.Primary {
 			p.log.Info("primary changed", "group", n.Group, "primary", n.Primary, "term", n.Term,
 				"before", g.permit.Primary, "before-term", g.permit.Term)
+			g.sight = Sight{
+				Group: n.Group,
+			}
+			p.closeRelays(g.permit.Primary, now)
 		}
 		if n.Until.Before(g.permit.Until) && n.Term == g.permit.Term {
 			n.Until = g.permit.Until
 		}
 		g.permit = n
+		if g.demoted == n.Term && n.PositionAt.After(g.demotedAt) {
+			// The keeper has asked the endpoint since, and it leads.
+			g.demoted = 0
+		}
 		if n.Position.Term == n.Term && !n.PositionAt.IsZero() {
 			g.samples = g.samples.WithSample(sample(n.PositionAt, n.Position))
 		}
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -143,8 +143,9 @@
 	parked  []*job
 	held    []held
 	sight   Sight
-	// demoted is the last term whose primary was seen not to lead.
-	demoted rosemarylb.Term
+	// demoted is the last term whose primary was seen not to lead, at demotedAt.
+	demoted   rosemarylb.Term
+	demotedAt time.Time
 }
 
 // held is the answer of a primary that waits for a permit that covers it.
@@ -153,37 +154,3 @@
 	reply rosemarylb.Reply
 	at    time.Time
 }
-
-// Sight is what this instance has seen of a group's primary.
-type Sight struct {
-	// Group is the replicated database.
-	Group rosemarylb.DatabaseName
-	// Primary is the endpoint that it is about.
-	Primary rosemarylb.EndpointID
-	// AnsweredAt is when the last query that was answered was sent.
-	AnsweredAt time.Time
-	// FailingAt is when the first failure after that was seen.
-	FailingAt time.Time
-}
-
-func (s Sight) withAnswer(primary rosemarylb.EndpointID, sentAt time.Time) Sight {
-	if s.Primary == primary && !sentAt.After(s.AnsweredAt) {
-		return s
-	}
-	s.Primary = primary
-	s.AnsweredAt = sentAt
-	s.FailingAt = time.Time{}
-	return s
-}
-
-func (s Sight) withFailure(primary rosemarylb.EndpointID, now time.Time) Sight {
-	if s.Primary != primary {
-		s.Primary = primary
-		s.AnsweredAt = time.Time{}
-		s.FailingAt = time.Time{}
-	}
-	if s.FailingAt.IsZero() {
-		s.FailingAt = now
-	}
-	return s
-}
