Add a fault soak with real processes

Change: 'experiment soak' and its test run instances as processes, each behind loopback links of its own to the endpoints and the store, and a view of the store of its own; a seeded plan kills, pauses, stops and reloads them, delays, cuts, silences and resets links, fails the store (refusals, slow, lost and late writes, forgotten history), crashes, silences, cuts off, flaps and releases endpoints, and changes the configuration; steps overlap. While it runs, what callers were told is compared with what endpoints ran: UNASKED, ROUTE, PINNED, MIXED, TWICE, REFUSED, STALE, ONE, CONFIG, LOST, DRAIN, recovery of every instance, and exits. The stand-in of the line protocol got a log for each endpoint, delayed promotions, old primaries that go on, slots, a limit of connections and faults.

Not played from outside: cuts between instances, whose addresses are told as they listen, and clocks, which it has no way to change.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -11,6 +11,7 @@
 	"rosemarylb/internal/experiment/membership"
 	"rosemarylb/internal/experiment/path"
 	"rosemarylb/internal/experiment/report"
+	"rosemarylb/internal/experiment/soak"
 
 	"rosemarylb"
 
@@ -23,6 +24,7 @@
 	Failover   failoverCommand   `command:"failover" description:"Measure the failover gap"`
 	Commit     commitCommand     `command:"commit" description:"Measure the delay of commits by replica lag"`
 	Rest       restCommand       `command:"rest" description:"Measure what control costs a fleet at rest"`
+	Soak       soakCommand       `command:"soak" description:"Run instances as processes, harm them and check what callers see"`
 	Membership membershipCommand `command:"membership" description:"Measure membership in fleets of several sizes"`
 }
 
@@ -71,6 +73,51 @@
 	return t.Flush()
 }
 
+type soakCommand struct {
+	Program   string `long:"program" default:"target/rosemarylb" description:"program that instances run"`
+	Folder    string `long:"folder" description:"folder for the instances' output; a temporary one if empty"`
+	Seed      uint64 `long:"seed" default:"1" description:"first seed"`
+	Count     int    `long:"count" default:"1" description:"number of seeds"`
+	Seconds   int    `long:"seconds" default:"15" description:"for how long things are harmed"`
+	Instances int    `long:"instances" default:"5" description:"number of processes"`
+	Groups    int    `long:"groups" default:"2" description:"number of replicated databases"`
+	Callers   int    `long:"callers" default:"16" description:"number of callers"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	if c.Folder == "" {
+		folder, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return err
+		}
+		c.Folder = folder
+	}
+	failed := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Count); seed++ {
+		r, err := soak.Run(soak.Options{
+			Program:   c.Program,
+			Folder:    c.Folder,
+			Seed:      seed,
+			Length:    time.Duration(c.Seconds) * time.Second,
+			Instances: c.Instances,
+			Groups:    c.Groups,
+			Callers:   c.Callers,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Println(r)
+		if len(r.Wrong) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds failed; the instances' output is in %s", failed, c.Count, c.Folder)
+	}
+	return nil
+}
+
 type readsCommand struct {
 	Seconds int `long:"seconds" default:"10" description:"how long each lag is measured"`
 }
--- a/internal/standin/line/server.go
+++ b/internal/standin/line/server.go
@@ -1,49 +1,95 @@
 package line
 
 import (
-	"bufio"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
+// slotCount is how many statements one endpoint runs at a time, and queueCount
+// how many more wait there before it refuses.
+const (
+	slotCount  = 2
+	queueCount = 14
+)
+
+// listenAddress is not the address that outgoing connections have, so that none
+// of them takes the port of an endpoint that starts again.
+const listenAddress = "127.0.0.2:0"
+
+// ServerFaults are what goes wrong at an endpoint, each with a probability.
+type ServerFaults struct {
+	// LoseAnswer breaks the connection after a statement ran.
+	LoseAnswer float64
+	// Fail answers a read with an error after it ran.
+	Fail float64
+}
+
 // Server is one endpoint.
 type Server struct {
 	group    *Group
 	id       string
+	address  string
 	listener net.Listener
 	primary  bool
 	stopped  bool
+	paused   bool
+	deaf     bool
+	actsTo   time.Time
 	term     int
 	behind   int
+	log      []*Commit
 	conns    map[net.Conn]struct{}
+	slots    chan struct{}
+	faults   ServerFaults
 }
 
 // Start runs an endpoint of a group on a loopback address. Its first endpoint
 // leads.
 func Start(g *Group, id string) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
 	s := &Server{
-		group:    g,
-		id:       id,
-		listener: l,
-		term:     1,
-		conns:    map[net.Conn]struct{}{},
+		group:   g,
+		id:      id,
+		address: listenAddress,
+		term:    1,
+		conns:   map[net.Conn]struct{}{},
+		slots:   make(chan struct{}, slotCount),
+	}
+	if err := s.listen(); err != nil {
+		return nil, err
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	s.primary = len(g.servers) == 0
+	if s.primary {
+		g.leader = s
+	}
 	g.servers[id] = s
-	g.mu.Unlock()
-	go s.accept()
 	return s, nil
 }
 
+func (s *Server) listen() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.listener = l
+	s.address = l.Addr().String()
+	go s.accept(l)
+	return nil
+}
+
 // Address returns where the endpoint listens.
 func (s *Server) Address() string {
-	return s.listener.Addr().String()
+	return s.address
+}
+
+// ID returns the endpoint's name.
+func (s *Server) ID() string {
+	return s.id
 }
 
 // SetBehind has a replica lack the last commits of the log.
@@ -53,11 +99,33 @@
 	s.behind = commits
 }
 
-// Stop ends the endpoint and breaks its connections.
+// SetDeaf has a replica receive nothing, or receive again.
+func (s *Server) SetDeaf(deaf bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.deaf = deaf
+}
+
+// SetFaults changes what goes wrong.
+func (s *Server) SetFaults(f ServerFaults) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.faults = f
+}
+
+// Leads reports whether the endpoint takes itself for the primary.
+func (s *Server) Leads() bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.advance(time.Now())
+	return s.primary && !s.stopped
+}
+
+// Stop ends the endpoint and breaks its connections. Its log stays.
 func (s *Server) Stop() {
 	s.group.mu.Lock()
+	s.group.advance(time.Now())
 	s.stopped = true
-	s.primary = false
 	conns := s.conns
 	s.conns = map[net.Conn]struct{}{}
 	s.group.mu.Unlock()
@@ -67,180 +135,85 @@
 	}
 }
 
-func (s *Server) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.group.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.group.mu.Unlock()
-		go s.serve(c)
+// Restart runs an endpoint again that was stopped, with its log: as the primary
+// if no other was promoted.
+func (s *Server) Restart() error {
+	if err := s.listen(); err != nil {
+		return err
 	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.advance(time.Now())
+	s.stopped = false
+	s.paused = false
+	s.primary = s.group.leader == s
+	return nil
 }
 
-// session is one connection to the endpoint.
-type session struct {
-	server   *Server
-	state    string
-	readOnly bool
-	writes   map[string]string
-	prepared map[string]string
+// receive copies what the group's primary has committed long enough ago; the
+// group is locked.
+func (s *Server) receive(now time.Time) {
+	leader := s.group.leader
+	if leader == nil || leader == s || leader.stopped || s.paused || s.deaf {
+		return
+	}
+	n := 0
+	for n < len(s.log) && n < len(leader.log) && s.log[n] == leader.log[n] {
+		n++
+	}
+	if n < len(s.log) || s.term != s.group.term {
+		s.log = slices.Clone(s.log[:n])
+		s.term = s.group.term
+	}
+	for n < len(leader.log) && !leader.log[n].At.Add(s.group.lag).After(now) {
+		s.log = append(s.log, leader.log[n])
+		n++
+	}
 }
 
-func (s *Server) serve(c net.Conn) {
-	defer func() {
-		_ = c.Close()
-	}()
-	k := &session{
-		server:   s,
-		state:    "I",
-		prepared: map[string]string{},
+// holds reports whether the log has a position; the group is locked.
+func (s *Server) holds(term, number int) bool {
+	if term > s.term || number > s.applied() {
+		return false
 	}
-	r := bufio.NewReader(c)
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return
-		}
-		verb, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
-		answer := ""
-		switch verb {
-		case "CONNECT":
-			f := strings.Fields(rest)
-			if len(f) == 3 && (f[0] != s.group.name || f[2] != s.id) {
-				_, _ = c.Write([]byte("ERROR WRONGNODE " + s.id + "\r\n"))
-				return
-			}
-		case "QUERY":
-			_, text, _ := strings.Cut(rest, " ")
-			answer = k.query(text)
-		default:
-			return
-		}
-		s.group.mu.Lock()
-		ready := "READY " + k.state + " " + s.group.position(s.applied()) + "\r\n"
-		s.group.mu.Unlock()
-		if _, err := c.Write([]byte(answer + ready)); err != nil {
-			return
+	for t := term + 1; t <= s.term; t++ {
+		if start, known := s.group.starts[t]; known && number > start {
+			return false
 		}
 	}
+	return true
 }
 
 // applied is how many commits the endpoint shows; the group is locked.
 func (s *Server) applied() int {
 	if s.primary {
-		return len(s.group.log)
-	}
-	return max(len(s.group.log)-s.behind, 0)
-}
-
-func (k *session) done(rows ...string) string {
-	answer := ""
-	for _, r := range rows {
-		answer += "ROW " + r + "\r\n"
+		return len(s.log)
 	}
-	return answer + "COMPLETE signed." + k.server.id + "\r\n"
+	return max(len(s.log)-s.behind, 0)
 }
 
-func (k *session) fail(code string) string {
-	if k.state != "I" {
-		k.state = "E"
-	}
-	return "ERROR " + code + " " + k.server.id + "\r\n"
-}
-
-// query runs one statement.
-func (k *session) query(text string) string {
-	s := k.server
-	g := s.group
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if rest, waits := strings.CutPrefix(text, "WAITPOS "); waits {
-		position, statement, _ := strings.Cut(rest, " ")
-		_, number, _ := strings.Cut(position, ".")
-		if n, _ := strconv.Atoi(number); n > s.applied() {
-			return k.fail("LAGGING")
+// value returns what the log says of an item; the group is locked.
+func (s *Server) value(item string) string {
+	for i := s.applied() - 1; i >= 0; i-- {
+		if v, found := s.log[i].writes[item]; found {
+			return v
 		}
-		text = statement
-	}
-	f := strings.Fields(text)
-	switch f[0] {
-	case "STATUS":
-		role := "replica"
-		if s.primary {
-			role = "primary"
-		}
-		return k.done(role + " " + strconv.Itoa(g.term) + " " + g.position(len(g.log)) + " 0 0 0 " +
-			strconv.Itoa(len(s.conns)))
-	case "STEPDOWN":
-		s.primary = false
-		return k.done("replica " + strconv.Itoa(g.term) + " " + g.position(len(g.log)) + " 0 0 0 1")
-	case "SET", "RESET":
-		return "COMPLETE -\r\n"
-	case "PREPARE":
-		k.prepared[f[1]] = f[2]
-		return "COMPLETE -\r\n"
-	case "BEGIN":
-		return k.begin(len(f) > 1)
-	case "ROLLBACK":
-		k.state, k.writes = "I", nil
-		return "COMPLETE -\r\n"
-	case "COMMIT":
-		return k.commit()
-	case "EXECUTE":
-		access, found := k.prepared[f[1]]
-		if !found {
-			return k.fail("NOSTMT")
-		}
-		return k.run(append([]string{access}, f[2:]...))
-	default:
-		return k.run(f)
 	}
+	return ""
 }
 
-func (k *session) begin(readOnly bool) string {
-	if !readOnly && !k.server.primary {
-		return k.fail("READONLY")
+func (s *Server) status() string {
+	role := "replica"
+	if s.primary {
+		role = "primary"
 	}
-	k.state, k.readOnly, k.writes = "T", readOnly, map[string]string{}
-	return "COMPLETE -\r\n"
+	return strings.Join([]string{
+		role, strconv.Itoa(s.term), position(s.term, len(s.log)), "0",
+		strconv.FormatInt(s.group.lag.Milliseconds(), 10), strconv.Itoa(len(s.slots)), strconv.Itoa(len(s.conns)),
+	}, " ")
 }
 
-func (k *session) commit() string {
-	g := k.server.group
-	if k.state == "E" || len(k.writes) > 0 && !k.server.primary {
-		k.state = "I"
-		return "ERROR ABORTED -\r\n"
-	}
-	k.state = "I"
-	if len(k.writes) > 0 {
-		g.log = append(g.log, entry{
-			term:   g.term,
-			writes: k.writes,
-		})
-	}
-	return k.done()
-}
-
-// run reads or writes an item.
-func (k *session) run(f []string) string {
-	g := k.server.group
-	switch {
-	case f[0] == "READ" && len(f) == 2:
-		return k.done(g.value(f[1], k.server.applied()))
-	case f[0] != "WRITE" || len(f) != 3:
-		return k.fail("MALFORMED")
-	case !k.server.primary:
-		return k.fail("READONLY")
-	case k.state == "T":
-		k.writes[f[1]] = f[2]
-	default:
-		g.log = append(g.log, entry{
-			term:   g.term,
-			writes: map[string]string{f[1]: f[2]},
-		})
-	}
-	return k.done()
+// happens draws whether a fault of some probability strikes.
+func happens(probability float64) bool {
+	return probability > 0 && rand.Float64() < probability
 }
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,6 +43,32 @@
 	Status int
 	// LoseWrites has writes done and not answered.
 	LoseWrites bool
+	// LoseSome is the part of the writes that are done and not answered.
+	LoseSome float64
+	// Delay answers each call that much later.
+	Delay time.Duration
+	// Late does lost writes only after it, if their condition still holds.
+	Late time.Duration
+}
+
+// Order is one call to promote.
+type Order struct {
+	// Group and Endpoint are what was to be promoted.
+	Group, Endpoint string
+	// Holder and Token are who ordered it.
+	Holder string
+	Token  uint64
+	// At is when it came.
+	At time.Time
+}
+
+// View is the store as one instance sees it.
+type View struct {
+	store   *Store
+	rewrite func(kind string, spec json.RawMessage) json.RawMessage
+
+	mu     sync.Mutex
+	faults Faults
 }
 
 // Store is the stand-in's state.
@@ -52,30 +79,54 @@
 	objects  map[string]map[string]Object
 	events   []event
 	changed  chan struct{}
-	faults   Faults
+	own      *View
 	calls    int
 	pageSize int
 	promote  func(group, id string) bool
-	tokens   []uint64
+	orders   []Order
 }
 
 // NewStore returns an empty store. The function carries out promotions, and
 // returns false when it refuses.
 func NewStore(promote func(group, id string) bool) *Store {
-	return &Store{
+	s := &Store{
 		revision: 1,
 		objects:  map[string]map[string]Object{},
 		changed:  make(chan struct{}),
 		pageSize: 2,
 		promote:  promote,
 	}
+	s.own = s.View(func(_ string, spec json.RawMessage) json.RawMessage {
+		return spec
+	})
+	return s
+}
+
+// View returns the store as one instance sees it: what it reads is rewritten,
+// and calls through the view have faults of their own.
+func (s *Store) View(rewrite func(kind string, spec json.RawMessage) json.RawMessage) *View {
+	return &View{
+		store:   s,
+		rewrite: rewrite,
+	}
 }
 
 // SetFaults changes what goes wrong.
 func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
+	s.own.SetFaults(f)
+}
+
+// SetFaults changes what goes wrong with calls through the view.
+func (v *View) SetFaults(f Faults) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faults = f
+}
+
+func (v *View) fault() Faults {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.faults
 }
 
 // Calls returns how many calls came.
@@ -87,9 +138,18 @@
 
 // Tokens returns the fencing tokens of the promotions, in order.
 func (s *Store) Tokens() []uint64 {
+	var tokens []uint64
+	for _, o := range s.Orders() {
+		tokens = append(tokens, o.Token)
+	}
+	return tokens
+}
+
+// Orders returns the calls to promote, in order.
+func (s *Store) Orders() []Order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.tokens)
+	return slices.Clone(s.orders)
 }
 
 // Forget drops the history: watches of older revisions are gone.
@@ -153,12 +213,19 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.own.ServeHTTP(w, r)
+}
+
+// ServeHTTP implements http.Handler.
+func (v *View) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s := v.store
 	s.mu.Lock()
 	s.calls++
-	status := s.faults.Status
 	s.mu.Unlock()
-	if status != 0 {
-		w.WriteHeader(status)
+	faults := v.fault()
+	time.Sleep(faults.Delay)
+	if faults.Status != 0 {
+		w.WriteHeader(faults.Status)
 		return
 	}
 	if r.URL.Path == "/promote" {
@@ -170,16 +237,22 @@
 	case len(parts) < 2 || parts[0] != "objects":
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method != http.MethodGet:
-		s.serveWrite(w, r, parts)
+		s.serveWrite(w, r, parts, faults)
 	case len(parts) == 3:
-		s.serveGet(w, parts[1], parts[2])
+		v.serveGet(w, parts[1], parts[2])
 	case r.URL.Query().Get("watch") != "":
-		s.serveWatch(w, r, parts[1])
+		v.serveWatch(w, r, parts[1])
 	default:
-		s.serveList(w, parts[1], r.URL.Query().Get("after"))
+		v.serveList(w, parts[1], r.URL.Query().Get("after"))
 	}
 }
 
+// seen returns an object as it looks through the view.
+func (v *View) seen(kind string, o Object) Object {
+	o.Spec = v.rewrite(kind, o.Spec)
+	return o
+}
+
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -194,14 +267,21 @@
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	s.mu.Lock()
-	s.tokens = append(s.tokens, token)
+	s.orders = append(s.orders, Order{
+		Group:    body.Service,
+		Endpoint: body.ID,
+		Holder:   r.Header.Get("Duty-Holder"),
+		Token:    token,
+		At:       time.Now(),
+	})
 	s.mu.Unlock()
 	if !s.promote(body.Service, body.ID) {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
 
-func (s *Store) serveGet(w http.ResponseWriter, kind, name string) {
+func (v *View) serveGet(w http.ResponseWriter, kind, name string) {
+	s := v.store
 	s.mu.Lock()
 	o, found := s.objects[kind][name]
 	s.mu.Unlock()
@@ -209,33 +289,47 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, http.StatusOK, o)
+	answer(w, http.StatusOK, v.seen(kind, o))
 }
 
-func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request, parts []string) {
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request, parts []string, faults Faults) {
 	var o Object
 	_ = json.NewDecoder(r.Body).Decode(&o)
+	lost := faults.LoseWrites || rand.Float64() < faults.LoseSome
+	if lost && faults.Late > 0 {
+		time.AfterFunc(faults.Late, func() {
+			s.write(r.Method, parts[1], o)
+		})
+		panic(http.ErrAbortHandler)
+	}
+	status, stands := s.write(r.Method, parts[1], o)
+	switch {
+	case status == http.StatusNotFound:
+		w.WriteHeader(status)
+	case status == http.StatusOK && lost:
+		panic(http.ErrAbortHandler)
+	default:
+		answer(w, status, stands)
+	}
+}
+
+// write does a write if its condition holds, and returns what stands.
+func (s *Store) write(method, kind string, o Object) (int, Object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	name := o.Meta.Name
-	stands, found := s.objects[parts[1]][name]
-	conflict := found && o.Meta.Revision != stands.Meta.Revision
+	stands, found := s.objects[kind][o.Meta.Name]
 	switch {
-	case conflict:
-		answer(w, http.StatusConflict, stands)
-		return
-	case !found && r.Method == http.MethodPut:
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	done := s.put(parts[1], name, o.Spec)
-	if s.faults.LoseWrites {
-		panic(http.ErrAbortHandler)
+	case found && o.Meta.Revision != stands.Meta.Revision:
+		return http.StatusConflict, stands
+	case !found && method == http.MethodPut:
+		return http.StatusNotFound, Object{}
+	default:
+		return http.StatusOK, s.put(kind, o.Meta.Name, o.Spec)
 	}
-	answer(w, http.StatusOK, done)
 }
 
-func (s *Store) serveList(w http.ResponseWriter, kind, after string) {
+func (v *View) serveList(w http.ResponseWriter, kind, after string) {
+	s := v.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
@@ -251,12 +345,13 @@
 	}
 	items := []Object{}
 	for _, name := range names {
-		items = append(items, s.objects[kind][name])
+		items = append(items, v.seen(kind, s.objects[kind][name]))
 	}
 	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "at_rev": s.revision})
 }
 
-func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
+func (v *View) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
+	s := v.store
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
@@ -270,7 +365,7 @@
 		events := []map[string]any{}
 		for _, e := range s.events {
 			if e.kind == kind && e.revision > since {
-				events = append(events, map[string]any{"object": e.object, "deleted": e.deleted})
+				events = append(events, map[string]any{"object": v.seen(kind, e.object), "deleted": e.deleted})
 			}
 		}
 		revision, changed := s.revision, s.changed
