Pass roll backs on through instances in their form

A roll back on a connection through another instance lacked the prefix that such queries have, so it was refused as malformed; the connection was dropped and opened anew for each transaction that its caller left.

Change: the prefix is sent. Test: relay_test.go, failed before.

--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -126,9 +126,13 @@
 	k.job = nil
 	k.state = linkCleaning
 	k.until = now.Add(cleanTimeout)
-	p.endpoints.Send(k.id, rosemarylb.Query{
+	q := rosemarylb.Query{
 		Kind: rosemarylb.QueryRollback,
-	})
+	}
+	if k.via {
+		q = q.WithService(rosemarylb.RankUrgent, cleanTimeout.Milliseconds())
+	}
+	p.endpoints.Send(k.id, q)
 }
 
 // drop closes a connection and forgets it.
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -202,3 +202,22 @@
 		}
 	}
 }
+
+func TestARollBackPassesThroughAnInstanceAsOtherQueriesDo(t *testing.T) {
+	b := farBench(t)
+	b.ask(1, rosemarylb.QueryWrite)
+	b.take()
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryBegin)
+	b.ask(11, rosemarylb.QueryWrite)
+	b.reply(b.take(), rosemarylb.ReplyDone, opened, rosemarylb.Position{})
+	b.reply(b.take(), rosemarylb.ReplyDone, opened, position(1, 10))
+	b.handle(Left{
+		Session: 11,
+	})
+	s := b.take()
+	if s.query.Kind != rosemarylb.QueryRollback || b.via[s.id] == "" || s.query.WithinMillis <= 0 {
+		t.Errorf("got %s through %q with %d ms left, want a roll back that says how long it may take", s.query.Kind,
+			b.via[s.id], s.query.WithinMillis)
+	}
+}
