Have the holder of the lease tell others what changes in the store

Change: the answer to a question for permits also carries the newest version of the configuration that any instance has, and the list of endpoints when the asker has another one. Told instances make no calls but to fetch a new configuration; the holder and two more, drawn by hash, go on following the store. Nobody is told while the store does not answer the holder, so all follow it again within half a second of that. A watch waits 2 s, so that a silent store is noticed within the bound of the configuration.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -50,6 +50,8 @@
 	Address string
 	// Peer is where it takes queries that others pass on.
 	Peer rosemarylb.Peer
+	// Catalog is the version of the configuration that it has.
+	Catalog uint64
 }
 
 // Evidence is what an instance has seen of one primary, in the keeper's time.
@@ -132,6 +134,7 @@
 	storeAt time.Time
 	address string
 	peer    rosemarylb.Peer
+	catalog uint64
 	seen    map[rosemarylb.DatabaseName]Evidence
 }
 
@@ -227,6 +230,7 @@
 		storeAt: r.StoreAt,
 		address: r.Address,
 		peer:    r.Peer,
+		catalog: r.Catalog,
 		seen:    seen,
 	}
 	for id, m := range k.members {
@@ -250,8 +254,9 @@
 	return s
 }
 
-// peerLimit is how many peers an instance is told of.
-const peerLimit = 16
+// peerLimit is how many peers an instance is told of, so that the list stays a
+// few kilobytes.
+const peerLimit = 128
 
 // Peers returns the instances that take queries which others pass on, and the
 // version of that list.
--- a/internal/failover/keeping/clerks.go
+++ b/internal/failover/keeping/clerks.go
@@ -15,7 +15,9 @@
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 1500 * time.Millisecond
 	// watchSpan is how long one watch of the record waits.
-	watchSpan = 4 * time.Second
+	watchSpan = 2 * time.Second
+	// toldPause is the time between two looks whether the holder still tells.
+	toldPause = 100 * time.Millisecond
 	// watchPause is the wait after a watch that failed.
 	watchPause = 250 * time.Millisecond
 )
@@ -85,6 +87,7 @@
 	clock   rosemarylb.Clock
 	ears    *Ears
 	heard   *duty.Latest[time.Time]
+	tells   *duty.Latest[keeper.Told]
 	version uint64
 	at      time.Time
 }
@@ -94,6 +97,11 @@
 
 // Tick implements duty.Handler; its thread waits for the store.
 func (w *watcher) Tick(now time.Time) {
+	if w.tells.Load().Fresh(now) {
+		w.at = now.Add(toldPause)
+		w.ring.Put(told{})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), watchSpan+storeTimeout)
 	defer cancel()
 	o, err := w.store.Watch(ctx, RecordName, w.version)
--- a/internal/failover/keeping/event.go
+++ b/internal/failover/keeping/event.go
@@ -51,6 +51,14 @@
 	// Peers take queries that others pass on; PeersVersion identifies the list.
 	Peers        []rosemarylb.Peer
 	PeersVersion uint64
+	// Tells is true when the asker need not follow the store.
+	Tells bool
+	// Catalog is the newest version of the configuration that is known.
+	Catalog uint64
+	// Endpoints are the registered endpoints; EndpointsVersion identifies the
+	// list.
+	Endpoints        []rosemarylb.EndpointSpec
+	EndpointsVersion uint64
 }
 
 // Released tells that the holder of a token has given the lease up.
@@ -69,6 +77,9 @@
 	Token uint64
 }
 
+// told tells that the holder of the lease is heard by this instance.
+type told struct{}
+
 type written struct {
 	outcome rosemarylb.PutOutcome
 	failed  bool
@@ -95,6 +106,7 @@
 	code rosemarylb.ReplyCode
 }
 
+func (told) keepingEvent()       {}
 func (Observed) keepingEvent()   {}
 func (Registered) keepingEvent() {}
 func (Questioned) keepingEvent() {}
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -40,6 +40,8 @@
 	tickAt time.Time
 	gaveUp *duty.Latest[bool]
 	ears   *Ears
+	list   list
+	heard  *duty.Latest[time.Time]
 }
 
 // Option changes a duty under construction.
@@ -95,12 +97,14 @@
 }
 
 // Start runs the duty and its clerks, and notes when the store last answered.
+// While the holder of the lease tells what changes, the record isn't followed.
 // The returned function stops them.
 func (n *Keeping) Start(
 	store rosemarylb.Store, promoter rosemarylb.Promoter, port rosemarylb.EndpointPort,
-	heard *duty.Latest[time.Time],
+	heard *duty.Latest[time.Time], tells *duty.Latest[keeper.Told],
 ) ([]*duty.Duty, func()) {
 	n.probes.port = port
+	n.heard = heard
 	main, stopMain := duty.StartOn[Event](n.clock, "keeper", n, n.ring)
 	writer, stopWriter := duty.StartOn[task](n.clock, "keeper-store", scribe{
 		store: store,
@@ -116,6 +120,7 @@
 		latest: n.latest,
 		clock:  n.clock,
 		heard:  heard,
+		tells:  tells,
 		ears:   n.ears,
 		at:     n.clock.Now(),
 	}, duty.NewRing[struct{}]("keeper-watch", 1))
@@ -160,6 +165,9 @@
 		n.observed(e.Object, now)
 	case Registered:
 		n.keeper = n.keeper.WithEndpoints(e.Endpoints)
+		n.list = newList(e.Endpoints)
+	case told:
+		n.keeper = n.keeper.WithTold(now)
 	case Retired:
 		n.keeper = n.keeper.WithRetiring()
 	case Released:
@@ -203,6 +211,11 @@
 		Token:         record.Token,
 		Peers:         peers,
 		PeersVersion:  version,
+
+		Tells:            n.tells(e.Report.From, now),
+		Catalog:          n.keeper.Catalog(),
+		Endpoints:        n.list.endpoints,
+		EndpointsVersion: n.list.version,
 	}:
 	default:
 	}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rosemarylb"
+	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/process/duty"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +18,10 @@
 	// callTimeout bounds a call that does not wait.
 	callTimeout = 1500 * time.Millisecond
 	// waitSpan is how long a call waits for a change.
-	waitSpan = 4 * time.Second
+	waitSpan = 2 * time.Second
+	// toldPause is the time between two looks whether another instance still
+	// tells what changes.
+	toldPause = 100 * time.Millisecond
 	// settlePause is the least time between two looks at the endpoints, whose
 	// entries change all the time.
 	settlePause = 700 * time.Millisecond
@@ -41,6 +45,7 @@
 	at        time.Time
 	reachable bool
 	heard     *duty.Latest[time.Time]
+	told      *duty.Latest[keeper.Told]
 	failures  int
 }
 
@@ -56,11 +61,11 @@
 }
 
 // StartEndpoints runs a duty that tells of the registered endpoints, and notes
-// when the directory last answered. The function told must not wait. The
-// returned function stops it.
+// when the directory last answered. It rests while another instance tells of
+// them. The function tell must not wait. The returned function stops it.
 func StartEndpoints(
 	c rosemarylb.Clock, d rosemarylb.Directory, l *slog.Logger, heard *duty.Latest[time.Time],
-	tell func([]rosemarylb.EndpointSpec),
+	told *duty.Latest[keeper.Told], tell func([]rosemarylb.EndpointSpec),
 ) (*duty.Duty, func()) {
 	return duty.StartOn[struct{}](c, "registry-endpoints", &Endpoints{
 		clock:     c,
@@ -71,6 +76,7 @@
 		at:        c.Now(),
 		reachable: true,
 		heard:     heard,
+		told:      told,
 	}, duty.NewRing[struct{}]("registry-endpoints", 1))
 }
 
@@ -79,6 +85,10 @@
 
 // Tick implements duty.Handler; its thread waits for the directory.
 func (e *Endpoints) Tick(now time.Time) {
+	if e.told.Load().Fresh(now) {
+		e.at = now.Add(toldPause)
+		return
+	}
 	next, err := e.look()
 	if err != nil {
 		e.noteReachable(false, err)
@@ -163,20 +173,24 @@
 	tell      func(rosemarylb.Catalog)
 	revision  uint64
 	version   uint64
+	told      *duty.Latest[keeper.Told]
 	at        time.Time
 	reachable bool
 	failures  int
 }
 
-// StartConfiguration runs a duty that tells of each configuration. The
-// function told must not wait. The returned function stops it.
+// StartConfiguration runs a duty that tells of each configuration. While another
+// instance tells which version is the newest, it asks for that alone. The
+// function tell must not wait. The returned function stops it.
 func StartConfiguration(
-	c rosemarylb.Clock, d rosemarylb.Directory, l *slog.Logger, tell func(rosemarylb.Catalog),
+	c rosemarylb.Clock, d rosemarylb.Directory, l *slog.Logger, told *duty.Latest[keeper.Told],
+	tell func(rosemarylb.Catalog),
 ) (*duty.Duty, func()) {
 	return duty.StartOn[struct{}](c, "registry-configuration", &Configuration{
 		directory: d,
 		log:       l,
 		tell:      tell,
+		told:      told,
 		at:        c.Now(),
 		reachable: true,
 	}, duty.NewRing[struct{}]("registry-configuration", 1))
@@ -187,6 +201,13 @@
 
 // Tick implements duty.Handler; its thread waits for the directory.
 func (c *Configuration) Tick(now time.Time) {
+	if t := c.told.Load(); t.Fresh(now) {
+		c.at = now.Add(toldPause)
+		c.revision = 0
+		if t.Catalog <= c.version {
+			return
+		}
+	}
 	next, revision, err := c.look()
 	if err != nil {
 		c.failures++
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rosemarylb"
+	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/process/duty"
 )
 
@@ -15,18 +16,24 @@
 	listing rosemarylb.Listing
 	err     error
 	catalog rosemarylb.Catalog
+	calls   int
 }
 
 // Endpoints implements rosemarylb.Directory.
-func (d *directory) Endpoints(context.Context) (rosemarylb.Listing, error) { return d.listing, d.err }
+func (d *directory) Endpoints(context.Context) (rosemarylb.Listing, error) {
+	d.calls++
+	return d.listing, d.err
+}
 
 // Changes implements rosemarylb.Directory.
 func (d *directory) Changes(context.Context, rosemarylb.Listing) (rosemarylb.Listing, error) {
+	d.calls++
 	return d.listing, d.err
 }
 
 // Catalog implements rosemarylb.Directory.
 func (d *directory) Catalog(context.Context) (rosemarylb.Catalog, uint64, error) {
+	d.calls++
 	return d.catalog, 1, d.err
 }
 
@@ -68,6 +75,7 @@
 		tell:      func(all []rosemarylb.EndpointSpec) { told = all },
 		kept:      map[rosemarylb.EndpointID]missing{},
 		heard:     duty.NewLatest(time.Time{}),
+		told:      duty.NewLatest(keeper.Told{}),
 	}
 	steps := []struct {
 		name  string
@@ -116,6 +124,7 @@
 		directory: d,
 		log:       slog.New(slog.DiscardHandler),
 		tell:      func(n rosemarylb.Catalog) { told = append(told, n.Version) },
+		told:      duty.NewLatest(keeper.Told{}),
 	}
 	for _, version := range []uint64{3, 3, 9, 7, 0, 12} {
 		d.catalog.Version = version
@@ -125,3 +134,55 @@
 		t.Errorf("got %v, want 3, 9, 12", told)
 	}
 }
+
+func TestTheDirectoryRestsWhileAnotherInstanceTells(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := &directory{
+		listing: listing(1, "a"),
+	}
+	told := duty.NewLatest(keeper.Told{})
+	var versions []uint64
+	c := &Configuration{
+		directory: d,
+		log:       slog.New(slog.DiscardHandler),
+		tell:      func(n rosemarylb.Catalog) { versions = append(versions, n.Version) },
+		told:      told,
+	}
+	e := &Endpoints{
+		clock: &clock{
+			now: now,
+		},
+		directory: d,
+		log:       slog.New(slog.DiscardHandler),
+		tell:      func([]rosemarylb.EndpointSpec) {},
+		kept:      map[rosemarylb.EndpointID]missing{},
+		heard:     duty.NewLatest(time.Time{}),
+		told:      told,
+	}
+	steps := []struct {
+		name     string
+		toldFor  time.Duration
+		newest   uint64
+		standing uint64
+		calls    int
+	}{
+		{"nobody tells", time.Hour, 0, 3, 2},
+		{"told, nothing new", 0, 3, 3, 0},
+		{"told of a new configuration", 0, 9, 9, 1},
+		{"told, and it is known", 100 * time.Millisecond, 9, 9, 0},
+		{"told long ago", time.Second, 9, 12, 2},
+	}
+	for _, s := range steps {
+		d.calls = 0
+		d.catalog.Version = s.standing
+		told.Store(keeper.Told{
+			At:      now.Add(-s.toldFor),
+			Catalog: s.newest,
+		})
+		c.Tick(now)
+		e.Tick(now)
+		if d.calls != s.calls || versions[len(versions)-1] != s.standing {
+			t.Errorf("%s: got %d calls and versions %v, want %d and %d last", s.name, d.calls, versions, s.calls, s.standing)
+		}
+	}
+}
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -46,6 +46,8 @@
 	own      string
 	peer     rosemarylb.Peer
 	peers    uint64
+	told     *duty.Latest[keeper.Told]
+	list     uint64
 	clock    rosemarylb.Clock
 	log      *slog.Logger
 	store    rosemarylb.Store
@@ -75,7 +77,7 @@
 // NewAsker returns a duty that is not yet started; it tells the proxy's ring.
 func NewAsker(
 	self rosemarylb.InstanceID, address string, peer rosemarylb.Peer, c rosemarylb.Clock, l *slog.Logger, s rosemarylb.Store,
-	k *keeping.Keeping, storeAt *duty.Latest[time.Time], p *proxy.Proxy,
+	k *keeping.Keeping, storeAt *duty.Latest[time.Time], told *duty.Latest[keeper.Told], p *proxy.Proxy,
 ) *Asker {
 	return &Asker{
 		self:    self,
@@ -86,6 +88,7 @@
 		store:   s,
 		keeping: k,
 		storeAt: storeAt,
+		told:    told,
 		status:  p.Status(),
 		tell:    p.Ring(),
 		at:      c.Now(),
@@ -128,6 +131,7 @@
 		a.noteHeard(now)
 		return
 	}
+	a.list = 0
 	if now.Sub(a.heardAt) < silentAfter {
 		return
 	}
@@ -200,9 +204,33 @@
 		Permits: permit.FromGrants(decodePermits(reply), now),
 	})
 	a.tellPeers(reply)
+	a.tellStore(reply, now)
 	return nil
 }
 
+// tellStore passes on what the keeper tells of the store. The list of endpoints
+// is asked for whole after a time in which the keeper told nothing.
+func (a *Asker) tellStore(reply *link.PermitReply, now time.Time) {
+	if !reply.GetTells() {
+		a.list = 0
+		return
+	}
+	if version := reply.GetEndpointsVersion(); version != a.list {
+		a.list = version
+		endpoints := decodeEndpoints(reply.GetEndpoints())
+		a.tell.Put(proxy.Registered{
+			Endpoints: endpoints,
+		})
+		a.keeping.Ring().Put(keeping.Registered{
+			Endpoints: endpoints,
+		})
+	}
+	a.told.Store(keeper.Told{
+		At:      now,
+		Catalog: reply.GetCatalogVersion(),
+	})
+}
+
 // tellPeers passes a new list of peers on to the proxy.
 func (a *Asker) tellPeers(reply *link.PermitReply) {
 	if reply.GetPeersVersion() == 0 {
@@ -229,6 +257,9 @@
 		RelayAddress: a.peer.Address,
 		Region:       string(a.peer.Region),
 		PeersVersion: a.peers,
+
+		EndpointsVersion: a.list,
+		CatalogVersion:   a.status.Load().Version,
 	}
 	for _, s := range a.status.Load().Sights {
 		q.Evidence = append(q.Evidence, &link.Evidence{
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -58,7 +58,7 @@
 	}
 	select {
 	case a := <-answer:
-		return encodePermits(a, q.GetPeersVersion()), nil
+		return encodePermits(a, q.GetPeersVersion(), q.GetEndpointsVersion()), nil
 	case <-ctx.Done():
 		return nil, errors.Wrap(ctx.Err(), "keeper")
 	}
@@ -80,6 +80,7 @@
 			Address: q.GetRelayAddress(),
 			Region:  rosemarylb.RegionName(q.GetRegion()),
 		},
+		Catalog: q.GetCatalogVersion(),
 	}
 	for _, e := range q.GetEvidence() {
 		r.Seen = append(r.Seen, keeper.Evidence{
@@ -109,9 +110,9 @@
 	return max(now.Sub(at).Microseconds(), 0)
 }
 
-// encodePermits encodes an answer to an asker that has a version of the list
-// of peers.
-func encodePermits(a keeping.Answer, known uint64) *link.PermitReply {
+// encodePermits encodes an answer to an asker that has some versions of the
+// lists of peers and of endpoints.
+func encodePermits(a keeping.Answer, peers, endpoints uint64) *link.PermitReply {
 	r := &link.PermitReply{
 		Keeper:        a.Keeps,
 		Members:       uint32(a.Share.Members),
@@ -120,7 +121,15 @@
 		HolderAddress: a.HolderAddress,
 		Token:         a.Token,
 	}
-	if a.Keeps && a.PeersVersion != known {
+	if a.Tells {
+		r.Tells = true
+		r.CatalogVersion = a.Catalog
+		r.EndpointsVersion = a.EndpointsVersion
+		if a.EndpointsVersion != endpoints {
+			r.Endpoints = encodeEndpoints(a.Endpoints)
+		}
+	}
+	if a.Keeps && a.PeersVersion != peers {
 		r.PeersVersion = a.PeersVersion
 		for _, p := range a.Peers {
 			r.Peers = append(r.Peers, &link.Peer{
@@ -160,3 +169,39 @@
 	}
 	return grants
 }
+
+func encodeEndpoints(all []rosemarylb.EndpointSpec) []*link.Endpoint {
+	var out []*link.Endpoint
+	for _, e := range all {
+		out = append(out, &link.Endpoint{
+			Id:      string(e.ID),
+			Group:   string(e.Database),
+			Address: e.Address,
+			Domain:  string(e.Domain),
+			Region:  string(e.Region),
+			Slots:   uint32(e.Slots),
+			Leaving: e.Leaving,
+			Primary: e.Primary,
+			Born:    e.Born,
+		})
+	}
+	return out
+}
+
+func decodeEndpoints(all []*link.Endpoint) []rosemarylb.EndpointSpec {
+	var out []rosemarylb.EndpointSpec
+	for _, e := range all {
+		out = append(out, rosemarylb.EndpointSpec{
+			ID:       rosemarylb.EndpointID(e.GetId()),
+			Database: rosemarylb.DatabaseName(e.GetGroup()),
+			Address:  e.GetAddress(),
+			Domain:   rosemarylb.DomainName(e.GetDomain()),
+			Region:   rosemarylb.RegionName(e.GetRegion()),
+			Slots:    int(e.GetSlots()),
+			Leaving:  e.GetLeaving(),
+			Primary:  e.GetPrimary(),
+			Born:     e.GetBorn(),
+		})
+	}
+	return out
+}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -112,7 +112,7 @@
 
 func (i *Instance) start(id Identity, p Peers) error {
 	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithPlace(id.Region, id.Domain),
-		proxy.WithRelays(p.Relays))
+		proxy.WithRelays(p.Relays, id.RelayAddress))
 	i.keeping = keeping.NewKeeping(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
 		keeping.WithLogger(i.log))
 	p.BindEndpoints(i.proxy)
@@ -122,15 +122,16 @@
 	}
 	i.run(i.proxy.Start(i.clock))
 	heard := duty.NewLatest(time.Time{})
-	duties, stop := i.keeping.Start(p.Store, p.Promoter, p.Probes, heard)
+	told := duty.NewLatest(keeper.Told{})
+	duties, stop := i.keeping.Start(p.Store, p.Promoter, p.Probes, heard, told)
 	i.duties = append(i.duties, duties...)
 	i.cleanups = append(i.cleanups, stop)
-	i.run(registry.StartConfiguration(i.clock, p.Directory, i.log, func(c rosemarylb.Catalog) {
+	i.run(registry.StartConfiguration(i.clock, p.Directory, i.log, told, func(c rosemarylb.Catalog) {
 		i.proxy.Ring().Put(proxy.Configured{
 			Catalog: c,
 		})
 	}))
-	i.run(registry.StartEndpoints(i.clock, p.Directory, i.log, heard, func(all []rosemarylb.EndpointSpec) {
+	i.run(registry.StartEndpoints(i.clock, p.Directory, i.log, heard, told, func(all []rosemarylb.EndpointSpec) {
 		i.proxy.Ring().Put(proxy.Registered{
 			Endpoints: all,
 		})
@@ -141,7 +142,7 @@
 	i.run(instance.NewAsker(id.Instance, id.InstanceAddress, rosemarylb.Peer{
 		Address: id.RelayAddress,
 		Region:  id.Region,
-	}, i.clock, i.log, p.Store, i.keeping, heard, i.proxy).Start())
+	}, i.clock, i.log, p.Store, i.keeping, heard, told, i.proxy).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
 		return err
--- a/internal/standin/line/server.go
+++ b/internal/standin/line/server.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -16,9 +17,12 @@
 	queueCount = 14
 )
 
-// listenAddress is not the address that outgoing connections have, so that none
-// of them takes the port of an endpoint that starts again.
-const listenAddress = "127.0.0.2:0"
+// listenAddress draws a loopback address that neither outgoing connections nor
+// other endpoints are likely to have, so that none of them takes the port of an
+// endpoint that starts again.
+func listenAddress() string {
+	return fmt.Sprintf("127.0.%d.%d:0", 2+rand.IntN(250), 2+rand.IntN(250))
+}
 
 // ServerFaults are what goes wrong at an endpoint, each with a probability.
 type ServerFaults struct {
@@ -53,7 +57,7 @@
 	s := &Server{
 		group:   g,
 		id:      id,
-		address: listenAddress,
+		address: listenAddress(),
 		term:    1,
 		conns:   map[net.Conn]struct{}{},
 		slots:   make(chan struct{}, slotCount),
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -69,6 +69,7 @@
 
 	mu     sync.Mutex
 	faults Faults
+	calls  int
 }
 
 // Store is the stand-in's state.
@@ -123,9 +124,18 @@
 	v.faults = f
 }
 
-func (v *View) fault() Faults {
+// Calls returns how many calls came through the view.
+func (v *View) Calls() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.calls
+}
+
+// called counts a call, and returns what goes wrong with it.
+func (v *View) called() Faults {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.calls++
 	return v.faults
 }
 
@@ -222,7 +232,7 @@
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
-	faults := v.fault()
+	faults := v.called()
 	time.Sleep(faults.Delay)
 	if faults.Status != 0 {
 		w.WriteHeader(faults.Status)
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -41,6 +41,7 @@
 	endpoints rosemarylb.EndpointPort
 	region    rosemarylb.RegionName
 	domain    rosemarylb.DomainName
+	address   string
 	ring      *duty.Ring[Event]
 	status    *duty.Latest[Status]
 
@@ -65,6 +66,8 @@
 	Ready bool
 	// Empty is true when no session is open.
 	Empty bool
+	// Version is that of the configuration in force, 0 for none.
+	Version uint64
 	// Sights are what it has seen of primaries.
 	Sights []Sight
 }
@@ -179,8 +182,9 @@
 
 func (p *Proxy) publish(now time.Time) {
 	s := Status{
-		Ready: p.ready(now),
-		Empty: len(p.seats) == 0,
+		Ready:   p.ready(now),
+		Empty:   len(p.seats) == 0,
+		Version: p.catalog.Version,
 	}
 	for _, g := range p.groups {
 		if sight := p.sight(g, now); sight.Primary != "" {
