Divide an endpoint's connections among those near it; pass on within a region

Change: when there are too few connections for one each, they go to the instances in the endpoint's region; all others pass their queries for a primary through these. An instance whose own are in use passes on too, also within its region; what it was passed itself it doesn't pass on.

Tests: relay_test.go (division, a second write beside one under way).

--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -38,15 +38,20 @@
 	}
 	connections := l.spec.Connections - probeReserve
 	near := p.near(l.spec.Region)
-	if near == 0 || len(p.peers) != p.share.Members {
+	if near == 0 || 2*len(p.peers) < p.share.Members {
 		return p.share.Limit(connections, offset)
 	}
-	// Those in other regions keep one each: what they need beyond that passes
-	// through instances near the endpoint.
+	all := max(len(p.peers), p.share.Members)
+	far := all - near
+	if connections < all {
+		// There are too few for one each: they go to those near the endpoint,
+		// and all others pass their queries through these.
+		far = 0
+	}
 	if p.region != l.spec.Region {
-		return 1
+		return min(far, 1)
 	}
-	return max((connections-(len(p.peers)-near))/near, 1)
+	return max((connections-far)/near, 1)
 }
 
 // near counts the instances in a region that take queries passed on.
--- a/internal/traffic/proxy/place.go
+++ b/internal/traffic/proxy/place.go
@@ -72,6 +72,8 @@
 	}
 	if best != nil {
 		p.grow(best, now)
+	} else if primary := p.primary(g, now); primary != nil {
+		p.growRelay(primary, now)
 	}
 	return false
 }
@@ -146,7 +148,7 @@
 func (p *Proxy) place(j *job, l *lane, now time.Time) {
 	var best *link
 	for _, k := range l.links {
-		if k.state != linkIdle {
+		if k.state != linkIdle || !j.mayUse(k) {
 			continue
 		}
 		if best == nil || k.suits(j) > best.suits(j) {
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// relayLimit is how many connections to a primary in another region lead
-	// through instances there: as many as a burst keeps busy.
+	// relayLimit is how many connections to a primary lead through other
+	// instances near it: as many as a burst keeps busy.
 	relayLimit = 6
 	// relayBackoff is the wait after an instance did not take one.
 	relayBackoff = 500 * time.Millisecond
@@ -16,10 +16,12 @@
 	relayBit = rosemarylb.SessionID(1) << 62
 )
 
-// WithRelays sets how instances that pass queries on are answered.
-func WithRelays(relays rosemarylb.CallerPort) Option {
+// WithRelays sets how instances that pass queries on are answered, and the
+// address that they reach this one at.
+func WithRelays(relays rosemarylb.CallerPort, address string) Option {
 	return func(p *Proxy) {
 		p.relays = relays
+		p.address = address
 	}
 }
 
@@ -93,21 +95,37 @@
 	}
 }
 
+// ownWaits reports whether a query waits that came from a caller: what another
+// instance has passed on isn't passed on again.
+func (g *group) ownWaits() bool {
+	for _, j := range g.jobs {
+		if j.seat.relayFor == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// mayUse reports whether a job may run on a connection.
+func (j *job) mayUse(k *link) bool {
+	return !k.via || j.seat.relayFor == ""
+}
+
 // misplaced reports whether a query was passed on for another primary than the
 // group's.
 func (j *job) misplaced(l *lane) bool {
 	return j.seat.relayFor != "" && j.seat.relayFor != l.spec.ID
 }
 
-// growRelay opens a connection to a primary in another region through an
-// instance there: those near it need few connections of their own.
+// growRelay opens a connection to a primary through another instance near it,
+// which may have one that is free while those of this instance are in use.
 func (p *Proxy) growRelay(l *lane, now time.Time) {
-	if l.spec.Region == p.region || now.Before(l.relayAt) || l.relays() >= relayLimit || l.count(linkOpening) > 1 {
+	if now.Before(l.relayAt) || l.relays() >= relayLimit || l.count(linkOpening) > 1 || !l.group.ownWaits() {
 		return
 	}
 	var near []rosemarylb.Peer
 	for _, peer := range p.peers {
-		if peer.Region == l.spec.Region {
+		if peer.Region == l.spec.Region && peer.Address != p.address {
 			near = append(near, peer)
 		}
 	}
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -221,3 +222,74 @@
 			b.via[s.id], s.query.WithinMillis)
 	}
 }
+
+// crowd tells a bench of instances in its own region and in another one.
+func (b *bench) crowd(near, far int) {
+	var peers []rosemarylb.Peer
+	for i := range near + far {
+		region := rosemarylb.RegionName("r")
+		if i >= near {
+			region = "far"
+		}
+		peers = append(peers, rosemarylb.Peer{
+			Address: "peer" + strconv.Itoa(i),
+			Region:  region,
+		})
+	}
+	b.handle(Peered{
+		Peers: peers,
+	})
+	b.handle(Shared{
+		Share: rosemarylb.Share{
+			Members: near + far,
+		},
+	})
+}
+
+func TestConnectionsAreDividedWithinTheLimitOfAnEndpoint(t *testing.T) {
+	tests := []struct {
+		name              string
+		connections       int
+		near, far         int
+		wantNear, wantFar int
+	}{
+		{"few instances", 16, 4, 4, 2, 1},
+		{"enough for one each", 60, 30, 29, 1, 1},
+		{"too few for one each", 46, 30, 29, 1, 0},
+		{"plenty", 146, 33, 33, 3, 1},
+	}
+	for _, test := range tests {
+		b := newBench(t)
+		b.crowd(test.near, test.far)
+		near, far := spec("e8", "r"), spec("e9", "far")
+		near.Connections, far.Connections = test.connections, test.connections
+		gotNear := b.p.limit(&lane{
+			spec: near,
+		})
+		gotFar := b.p.limit(&lane{
+			spec: far,
+		})
+		if gotNear != test.wantNear || gotFar != test.wantFar {
+			t.Errorf("%s: got %d near and %d far, want %d and %d", test.name, gotNear, gotFar, test.wantNear, test.wantFar)
+		}
+		if used := gotNear*test.near + gotFar*test.far; used >= test.connections {
+			t.Errorf("%s: got %d connections in use, want fewer than %d", test.name, used, test.connections)
+		}
+	}
+}
+
+func TestAWriteTakesAnotherInstancesConnectionWhileItsOwnIsInUse(t *testing.T) {
+	b := newBench(t)
+	b.p.relays = b
+	b.p.address = "peer0"
+	b.crowd(6, 4)
+	b.ask(1, rosemarylb.QueryWrite)
+	if s := b.take(); b.via[s.id] != "" {
+		t.Errorf("got the first write by way of %s, want it sent directly", b.via[s.id])
+	}
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryWrite)
+	if s := b.take(); b.via[s.id] == "" || b.via[s.id] == "peer0" {
+		t.Errorf("got the second write by way of %q, want another instance", b.via[s.id])
+	}
+}
