--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -158,18 +158,20 @@
 	promoteFrom time.Time
 	renewAt     time.Time
 
-	freed     uint64
-	deposed   uint64
-	awakeAt   time.Time
-	deafTo    time.Time
-	alone     time.Time
-	clean     bool
-	failingAt time.Time
-	writing   bool
-	written   Write
-	writtenAt time.Time
-	uncertain bool
-	readAt    time.Time
+	freed   uint64
+	deposed uint64
+	awakeAt time.Time
+	deafTo  time.Time
+	alone   time.Time
+	// confirmedAt is when the last write that took effect was sent.
+	confirmedAt time.Time
+	clean       bool
+	failingAt   time.Time
+	writing     bool
+	written     Write
+	writtenAt   time.Time
+	uncertain   bool
+	readAt      time.Time
 
 	members   map[rosemarylb.InstanceID]member
 	endpoints map[rosemarylb.DatabaseName][]rosemarylb.EndpointSpec
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -86,6 +86,7 @@
 		k.token = k.record.Token
 		k.alone = time.Time{}
 	}
+	k.confirmedAt = k.writtenAt
 	until := k.writtenAt.Add(leaseSpan - leaseMargin)
 	if until.After(k.leaseUntil) || !k.leading {
 		k.leaseUntil = until
@@ -164,6 +165,9 @@
 			changed = true
 		}
 	}
+	if !k.alone.IsZero() && !now.Before(k.writtenAt.Add(confirmInterval)) {
+		changed = true
+	}
 	return k, next, changed || !now.Before(k.renewAt)
 }
 
--- a/internal/failover/keeper/watch_test.go
+++ b/internal/failover/keeper/watch_test.go
@@ -81,3 +81,33 @@
 		}
 	}
 }
+
+func TestAHolderWithoutWitnessesActsWhileTheStoreConfirmsIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := watched(now, nil)
+	k.leaseUntil = now.Add(time.Minute)
+	k.record = k.record.WithWitnesses(map[rosemarylb.InstanceID]string{
+		"i0": "",
+		"i1": "",
+		"i2": "",
+		"i3": "",
+	})
+	tests := []struct {
+		name      string
+		confirmed time.Duration
+		want      bool
+	}{
+		{"never confirmed", time.Hour, false},
+		{"confirmed a moment ago", 500 * time.Millisecond, true},
+		{"confirmed too long ago", witnessSpan, false},
+	}
+	for _, test := range tests {
+		k.confirmedAt = now.Add(-test.confirmed)
+		if got := k.holds(now); got != test.want {
+			t.Errorf("%s: got %t, want %t", test.name, got, test.want)
+		}
+	}
+	if latest := witnessSpan + PromotionTimeout; promotionTravel <= latest {
+		t.Errorf("got a successor that waits %s, want longer than %s", promotionTravel, latest)
+	}
+}
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -14,6 +14,9 @@
 	witnessLimit = 9
 	// witnessSpan is how recent a witness's question has to be to count.
 	witnessSpan = 800 * time.Millisecond
+	// confirmInterval is the time between two writes of a holder without enough
+	// witnesses: two fit into the span for which each confirms it.
+	confirmInterval = 350 * time.Millisecond
 	// rejectedAfter is how long a holder without witnesses, whom the store
 	// answers, waits before it takes a new token: they may have promised to
 	// listen to the old one no more.
@@ -103,9 +106,17 @@
 	return k
 }
 
-// holds reports whether this instance may act as the keeper.
+// confirmed reports whether a write of the record that took effect was sent a
+// moment ago: a successor takes the lease after that, and waits longer before its
+// first order than this holder goes on.
+func (k Keeper) confirmed(now time.Time) bool {
+	return now.Sub(k.confirmedAt) < witnessSpan
+}
+
+// holds reports whether this instance may act as the keeper: nobody else can
+// have begun to, as witnesses or the store show.
 func (k Keeper) holds(now time.Time) bool {
-	return k.leading && now.Before(k.leaseUntil) && k.witnessed(now)
+	return k.leading && now.Before(k.leaseUntil) && (k.witnessed(now) || k.confirmed(now))
 }
 
 // rejected reports whether the holder has to take a new token.
