--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -293,3 +293,21 @@
 		t.Errorf("got the second write by way of %q, want another instance", b.via[s.id])
 	}
 }
+
+func TestWhatWasPassedOnTakesNoConnectionThroughAnotherInstance(t *testing.T) {
+	b := newBench(t)
+	b.p.relays = b
+	b.crowd(6, 4)
+	b.ask(1, rosemarylb.QueryWrite)
+	b.take()
+	b.join(11, "primary")
+	b.ask(11, rosemarylb.QueryWrite)
+	s := b.take()
+	b.reply(s, rosemarylb.ReplyDone, none, position(1, 11))
+	b.passOn(20, "e1", rosemarylb.QueryWrite)
+	for _, s := range b.sent {
+		if b.via[s.id] != "" {
+			t.Errorf("got what was passed on sent by way of %s, want it to wait", b.via[s.id])
+		}
+	}
+}
