Refuse at once what waits for a primary that does not come; follow less

Change: after 2.5 s without a primary, longer than a replacement takes, queries that need one are refused as not run at once, also those that wait already. Every instance but the holder is told of the endpoints; two follow the configuration and the record. Watches wait 4 s again: the holder's watch of the endpoints, whose entries change each second, notices a silent store.

--- a/internal/failover/keeper/tell.go
+++ b/internal/failover/keeper/tell.go
@@ -8,15 +8,19 @@
 	"rosemarylb"
 )
 
-// followerCount is how many instances beside the holder follow the store
-// themselves: they take over its sight when its own is lost, and tell it that the
-// store still answers others.
+// followerCount is how many instances beside the holder follow the configuration
+// and the record themselves: they tell it of what it misses when its own sight of
+// the store is lost.
 const followerCount = 2
 
-// Told is what a holder told an instance that need not follow the store.
+// Told is what a holder told an instance of the store. It tells every instance of
+// the endpoints.
 type Told struct {
 	// At is when the instance asked.
 	At time.Time
+	// Follows is true for an instance that follows the configuration and the
+	// record itself.
+	Follows bool
 	// Catalog is the newest version of the configuration that the holder knows
 	// of.
 	Catalog uint64
@@ -25,15 +29,26 @@
 // toldSpan is how long an instance relies on what it was told: three questions.
 const toldSpan = 400 * time.Millisecond
 
-// Fresh reports whether the instance still need not follow the store.
+// Fresh reports whether the instance still is told of the endpoints.
 func (t Told) Fresh(now time.Time) bool {
 	return now.Sub(t.At) < toldSpan
 }
 
-// Tells reports whether an instance need not follow the store, as this one
-// tells it what changes there. It does while the store answers it.
+// Rests reports whether the instance need not follow the store at all.
+func (t Told) Rests(now time.Time) bool {
+	return t.Fresh(now) && !t.Follows
+}
+
+// Tells reports whether this instance tells another what changes in the store.
+// It does while the store answers it.
 func (k Keeper) Tells(to rosemarylb.InstanceID, now time.Time) bool {
-	return k.holds(now) && k.failingAt.IsZero() && to != k.self && !slices.Contains(k.followers(), to)
+	return k.holds(now) && k.failingAt.IsZero() && to != k.self
+}
+
+// Follows reports whether an instance that is told follows the configuration and
+// the record itself.
+func (k Keeper) Follows(id rosemarylb.InstanceID) bool {
+	return slices.Contains(k.followers(), id)
 }
 
 // followers are the instances that follow the store beside the holder. They are
--- a/internal/failover/keeper/tell_test.go
+++ b/internal/failover/keeper/tell_test.go
@@ -13,15 +13,18 @@
 	k := watched(now, make([]Evidence, 8))
 	k.token = 1
 	k.leaseUntil = now.Add(time.Second)
-	told := 0
+	told, following := 0, 0
 	for i := range 8 {
 		id := rosemarylb.InstanceID("i" + strconv.Itoa(i))
 		if k.Tells(id, now) {
 			told++
 		}
+		if k.Follows(id) {
+			following++
+		}
 	}
-	if want := 8 - 1 - followerCount; told != want {
-		t.Errorf("got %d of 8 told, want %d: neither the holder nor %d that follow", told, want, followerCount)
+	if told != 7 || following != followerCount || k.Follows("i0") {
+		t.Errorf("got %d of 8 told and %d that follow, want 7 and %d, not the holder", told, following, followerCount)
 	}
 	tests := []struct {
 		name   string
--- a/internal/failover/keeping/clerks.go
+++ b/internal/failover/keeping/clerks.go
@@ -15,7 +15,7 @@
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 1500 * time.Millisecond
 	// watchSpan is how long one watch of the record waits.
-	watchSpan = 2 * time.Second
+	watchSpan = 4 * time.Second
 	// toldPause is the time between two looks whether the holder still tells.
 	toldPause = 100 * time.Millisecond
 	// watchPause is the wait after a watch that failed.
@@ -97,7 +97,7 @@
 
 // Tick implements duty.Handler; its thread waits for the store.
 func (w *watcher) Tick(now time.Time) {
-	if w.tells.Load().Fresh(now) {
+	if w.tells.Load().Rests(now) {
 		w.at = now.Add(toldPause)
 		w.ring.Put(told{})
 		return
--- a/internal/failover/keeping/event.go
+++ b/internal/failover/keeping/event.go
@@ -51,8 +51,9 @@
 	// Peers take queries that others pass on; PeersVersion identifies the list.
 	Peers        []rosemarylb.Peer
 	PeersVersion uint64
-	// Tells is true when the asker need not follow the store.
-	Tells bool
+	// Tells is true when the asker is told what changes in the store, and Follows
+	// when it follows the configuration and the record itself all the same.
+	Tells, Follows bool
 	// Catalog is the newest version of the configuration that is known.
 	Catalog uint64
 	// Endpoints are the registered endpoints; EndpointsVersion identifies the
--- a/internal/failover/keeping/follow.go
+++ b/internal/failover/keeping/follow.go
@@ -11,8 +11,7 @@
 )
 
 // storeSpan is how recent the store's last answer to this instance has to be
-// for it to tell others that they need not follow the store: a watch without
-// events and the pause after it.
+// for it to tell others: the entries of endpoints change every second or so.
 const storeSpan = 2500 * time.Millisecond
 
 // list is the list of endpoints that the holder tells others, and its version.
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -213,6 +213,7 @@
 		PeersVersion:  version,
 
 		Tells:            n.tells(e.Report.From, now),
+		Follows:          n.keeper.Follows(e.Report.From),
 		Catalog:          n.keeper.Catalog(),
 		Endpoints:        n.list.endpoints,
 		EndpointsVersion: n.list.version,
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -18,7 +18,7 @@
 	// callTimeout bounds a call that does not wait.
 	callTimeout = 1500 * time.Millisecond
 	// waitSpan is how long a call waits for a change.
-	waitSpan = 2 * time.Second
+	waitSpan = 4 * time.Second
 	// toldPause is the time between two looks whether another instance still
 	// tells what changes.
 	toldPause = 100 * time.Millisecond
@@ -201,7 +201,7 @@
 
 // Tick implements duty.Handler; its thread waits for the directory.
 func (c *Configuration) Tick(now time.Time) {
-	if t := c.told.Load(); t.Fresh(now) {
+	if t := c.told.Load(); t.Rests(now) {
 		c.at = now.Add(toldPause)
 		c.revision = 0
 		if t.Catalog <= c.version {
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -227,6 +227,7 @@
 	}
 	a.told.Store(keeper.Told{
 		At:      now,
+		Follows: reply.GetFollows(),
 		Catalog: reply.GetCatalogVersion(),
 	})
 }
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -123,6 +123,7 @@
 	}
 	if a.Tells {
 		r.Tells = true
+		r.Follows = a.Follows
 		r.CatalogVersion = a.Catalog
 		r.EndpointsVersion = a.EndpointsVersion
 		if a.EndpointsVersion != endpoints {
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -229,6 +229,7 @@
 		g.lines[n], late = g.lines[n].WithoutExpired(now)
 		p.refuseAll(g, late, now)
 	}
+	p.refuseHopeless(g, now)
 	p.recheck(g, now)
 	for _, l := range g.lanes {
 		for _, k := range l.links {
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -143,6 +143,9 @@
 	parked  []*job
 	held    []held
 	sight   Sight
+	// leaderless is since when no endpoint may be used as the primary, zero while
+	// one may.
+	leaderless time.Time
 	// demoted is the last term whose primary was seen not to lead, at demotedAt.
 	demoted   rosemarylb.Term
 	demotedAt time.Time
