Add a demo of the line protocol's front end

Change: 'rosemarylb demo-line' runs two instances and three endpoints on the stand-ins, writes through one instance and reads back through the other; it needs no files.

--- a/internal/shell/command/demo.go
+++ b/internal/shell/command/demo.go
@@ -34,13 +34,39 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprint(c.out, text); err != nil {
+	return c.show(text, run.Hints(), c.Once)
+}
+
+type lineDemoCommand struct {
+	*shell
+
+	Once bool `long:"once" env:"ROSEMARYLB_DEMO_ONCE" description:"run the main job and stop"`
+}
+
+// Execute implements flags.Commander.
+func (c *lineDemoCommand) Execute([]string) error {
+	run, stop, err := demo.NewLine(c.log)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	text, err := run.MainJob()
+	if err != nil {
+		return err
+	}
+	return c.show(text, run.Hints(), c.Once)
+}
+
+// show prints what the main job did, and waits for a signal unless that was
+// all.
+func (s *shell) show(text, hints string, all bool) error {
+	if _, err := fmt.Fprint(s.out, text); err != nil {
 		return errors.Wrap(err, "print")
 	}
-	if c.Once {
+	if all {
 		return nil
 	}
-	if _, err := fmt.Fprint(c.out, run.Hints()); err != nil {
+	if _, err := fmt.Fprint(s.out, hints); err != nil {
 		return errors.Wrap(err, "print")
 	}
 	signals := make(chan os.Signal, 1)
--- a/internal/shell/command/run.go
+++ b/internal/shell/command/run.go
@@ -53,13 +53,14 @@
 }
 
 type root struct {
-	Serve   serveCommand   `command:"serve" description:"Run one instance of the proxy"`
-	Host    hostCommand    `command:"host" description:"Run one instance on the users' platform"`
-	Config  configCommand  `command:"config" description:"Check, render, publish and follow the configuration"`
-	Dump    dumpCommand    `command:"dump" description:"Print the state of an instance as JSON"`
-	Drain   drainCommand   `command:"drain" description:"Shut an instance down gracefully"`
-	Demo    demoCommand    `command:"demo" description:"Run a whole service in one process, on stand-ins"`
-	Version versionCommand `command:"version" description:"Print the version"`
+	Serve    serveCommand    `command:"serve" description:"Run one instance of the proxy"`
+	Host     hostCommand     `command:"host" description:"Run one instance on the users' platform"`
+	Config   configCommand   `command:"config" description:"Check, render, publish and follow the configuration"`
+	Dump     dumpCommand     `command:"dump" description:"Print the state of an instance as JSON"`
+	Drain    drainCommand    `command:"drain" description:"Shut an instance down gracefully"`
+	Demo     demoCommand     `command:"demo" description:"Run a whole service in one process, on stand-ins"`
+	DemoLine lineDemoCommand `command:"demo-line" description:"Run the front end of the users' platform in one process, on stand-ins; needs no files"`
+	Version  versionCommand  `command:"version" description:"Print the version"`
 }
 
 type configCommand struct {
@@ -97,6 +98,7 @@
 	r.Dump.shell = s
 	r.Drain.shell = s
 	r.Demo.shell = s
+	r.DemoLine.shell = s
 	r.Version.shell = s
 	return r
 }
