--- a/internal/shell/command/demo.go
+++ b/internal/shell/command/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -45,7 +46,7 @@
 
 // Execute implements flags.Commander.
 func (c *lineDemoCommand) Execute([]string) error {
-	run, stop, err := demo.NewLine(c.log)
+	run, stop, err := demo.NewLine(slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
