--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -138,18 +138,16 @@
 // in which it may still be sent requests, ends, and starts anew.
 func releases(w *World, dice *rand.Rand, _ time.Duration) func() {
 	e := w.anyEndpoint(dice)
-	w.mu.Lock()
-	for _, o := range w.endpoints {
-		if o.group == e.group && (o.leaving || o.absent) {
-			w.mu.Unlock()
-			return func() {}
-		}
+	if !w.reserve(e) {
+		return func() {}
 	}
+	w.mu.Lock()
 	e.leaving = true
 	w.beat(e)
 	e.leavingAt = time.Now()
 	w.mu.Unlock()
 	return func() {
+		defer w.free(e)
 		time.Sleep(time.Until(e.leavingAt.Add(drainSpan + time.Second)))
 		w.mu.Lock()
 		e.absent = true
@@ -162,6 +160,35 @@
 	}
 }
 
+// reserve keeps an endpoint for one step that ends it, false while another of its
+// group is reserved.
+func (w *World) reserve(e *endpoint) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range w.endpoints {
+		if o.group == e.group && o.reserved {
+			return false
+		}
+	}
+	e.reserved = true
+	return true
+}
+
+func (w *World) free(e *endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.reserved = false
+}
+
+// stop ends an endpoint without a word.
+func (w *World) stop(e *endpoint) {
+	w.mu.Lock()
+	e.absent = true
+	e.absentAt = time.Now()
+	w.mu.Unlock()
+	e.server.Stop()
+}
+
 // restart runs an endpoint again.
 func (w *World) restart(e *endpoint) {
 	if err := e.server.Restart(); err != nil {
@@ -318,16 +345,13 @@
 
 func crashes(w *World, dice *rand.Rand, _ time.Duration) func() {
 	e := w.anyEndpoint(dice)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if e.absent || e.leaving {
+	if !w.reserve(e) {
 		return func() {}
 	}
-	e.absent = true
-	e.absentAt = time.Now()
-	e.server.Stop()
+	w.stop(e)
 	return func() {
 		w.restart(e)
+		w.free(e)
 	}
 }
 
@@ -345,16 +369,12 @@
 // flaps has an endpoint end and start by turns.
 func flaps(w *World, dice *rand.Rand, span time.Duration) func() {
 	e := w.anyEndpoint(dice)
-	w.mu.Lock()
-	if e.absent || e.leaving {
-		w.mu.Unlock()
+	if !w.reserve(e) {
 		return func() {}
 	}
-	e.absent = true
-	e.absentAt = time.Now()
-	w.mu.Unlock()
+	defer w.free(e)
 	for end := time.Now().Add(span); time.Now().Before(end); {
-		e.server.Stop()
+		w.stop(e)
 		time.Sleep(time.Duration(200+dice.IntN(600)) * time.Millisecond)
 		w.restart(e)
 		time.Sleep(time.Duration(200+dice.IntN(600)) * time.Millisecond)
--- a/internal/experiment/soak/world.go
+++ b/internal/experiment/soak/world.go
@@ -66,6 +66,8 @@
 	leavingAt time.Time
 	absent    bool
 	absentAt  time.Time
+	// reserved is true while a step of the plan ends and starts it.
+	reserved bool
 }
 
 // World is everything around the instances, and the instances.
