Use the field's names in the proxy and the keeper's duty

Cause: names that a newcomer has to have explained: seat, lane, sight, ears, scribe, herald, clerk. Change: session, pool, observation, witness, recordClient, promotionClient, client. No change of behaviour; tests of both packages pass.

--- a/internal/failover/keeping/clerks.go
+++ b/internal/failover/keeping/clients.go
@@ -27,8 +27,8 @@
 	write *keeper.Write
 }
 
-// scribe writes and reads the record, one call at a time.
-type scribe struct {
+// recordClient writes and reads the record, one call at a time.
+type recordClient struct {
 	duty.Passive
 
 	store rosemarylb.Store
@@ -36,7 +36,7 @@
 }
 
 // Handle implements duty.Handler; its thread waits for the store.
-func (s scribe) Handle(_ time.Time, t task) {
+func (s recordClient) Handle(_ time.Time, t task) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	if t.write == nil {
@@ -61,8 +61,8 @@
 	})
 }
 
-// herald carries orders to promote, one at a time.
-type herald struct {
+// promotionClient carries orders to promote, one at a time.
+type promotionClient struct {
 	duty.Passive
 
 	promoter rosemarylb.Promoter
@@ -70,7 +70,7 @@
 }
 
 // Handle implements duty.Handler; its thread waits for the promoter.
-func (h herald) Handle(_ time.Time, p rosemarylb.Promotion) {
+func (h promotionClient) Handle(_ time.Time, p rosemarylb.Promotion) {
 	ctx, cancel := context.WithTimeout(context.Background(), keeper.PromotionTimeout)
 	defer cancel()
 	h.ring.Put(promoted{
@@ -85,7 +85,7 @@
 	ring    *duty.Ring[Event]
 	latest  *duty.Latest[keeper.Record]
 	clock   rosemarylb.Clock
-	ears    *Ears
+	witness *Witness
 	heard   *duty.Latest[time.Time]
 	tells   *duty.Latest[keeper.Told]
 	version uint64
@@ -120,7 +120,7 @@
 	w.version = o.Version
 	if r, err := keeper.ParseRecord(o.Value); err == nil && o.Version != 0 {
 		w.latest.Store(r)
-		w.ears.Learned(r.Token, w.clock.Now())
+		w.witness.Learned(r.Token, w.clock.Now())
 	}
 	w.ring.Put(Observed{
 		Object: o,
--- a/internal/failover/keeping/keeping.go
+++ b/internal/failover/keeping/keeping.go
@@ -14,8 +14,8 @@
 const (
 	// ringCapacity is how many events may wait for the keeper.
 	ringCapacity = 4096
-	// clerkCapacity is how many calls may wait for a clerk.
-	clerkCapacity = 64
+	// clientCapacity is how many calls may wait for a client duty.
+	clientCapacity = 64
 	// tickInterval is the time between two decisions of the holder.
 	tickInterval = 20 * time.Millisecond
 	// idleInterval is that of the others.
@@ -29,19 +29,19 @@
 
 // Keeping is the duty.
 type Keeping struct {
-	log    *slog.Logger
-	clock  rosemarylb.Clock
-	keeper keeper.Keeper
-	ring   *duty.Ring[Event]
-	scribe *duty.Ring[task]
-	herald *duty.Ring[rosemarylb.Promotion]
-	latest *duty.Latest[keeper.Record]
-	probes *probes
-	tickAt time.Time
-	gaveUp *duty.Latest[bool]
-	ears   *Ears
-	list   list
-	heard  *duty.Latest[time.Time]
+	log             *slog.Logger
+	clock           rosemarylb.Clock
+	keeper          keeper.Keeper
+	ring            *duty.Ring[Event]
+	recordClient    *duty.Ring[task]
+	promotionClient *duty.Ring[rosemarylb.Promotion]
+	latest          *duty.Latest[keeper.Record]
+	probes          *probes
+	tickAt          time.Time
+	gaveUp          *duty.Latest[bool]
+	witness         *Witness
+	list            list
+	heard           *duty.Latest[time.Time]
 }
 
 // Option changes a duty under construction.
@@ -58,17 +58,17 @@
 // events to the duty.
 func NewKeeping(k keeper.Keeper, c rosemarylb.Clock, options ...Option) *Keeping {
 	n := &Keeping{
-		log:    slog.New(slog.DiscardHandler),
-		clock:  c,
-		keeper: k,
-		ring:   duty.NewRing[Event]("keeper", ringCapacity),
-		scribe: duty.NewRing[task]("keeper-store", clerkCapacity),
-		herald: duty.NewRing[rosemarylb.Promotion]("keeper-promotions", clerkCapacity),
-		latest: duty.NewLatest(keeper.Record{}),
-		probes: newProbes(),
-		tickAt: time.Unix(1, 0),
-		gaveUp: duty.NewLatest(false),
-		ears:   &Ears{},
+		log:             slog.New(slog.DiscardHandler),
+		clock:           c,
+		keeper:          k,
+		ring:            duty.NewRing[Event]("keeper", ringCapacity),
+		recordClient:    duty.NewRing[task]("keeper-store", clientCapacity),
+		promotionClient: duty.NewRing[rosemarylb.Promotion]("keeper-promotions", clientCapacity),
+		latest:          duty.NewLatest(keeper.Record{}),
+		probes:          newProbes(),
+		tickAt:          time.Unix(1, 0),
+		gaveUp:          duty.NewLatest(false),
+		witness:         &Witness{},
 	}
 	for _, o := range options {
 		o(n)
@@ -86,9 +86,9 @@
 	return n.latest
 }
 
-// Ears returns what this instance hears of the holder as a witness.
-func (n *Keeping) Ears() *Ears {
-	return n.ears
+// Witness returns what this instance hears of the holder as a witness.
+func (n *Keeping) Witness() *Witness {
+	return n.witness
 }
 
 // GaveUp tells whether a retired keeper holds nothing any more.
@@ -96,7 +96,7 @@
 	return n.gaveUp
 }
 
-// Start runs the duty and its clerks, and notes when the store last answered.
+// Start runs the duty and its client duties, and notes when the store last answered.
 // While the holder of the lease tells what changes, the record isn't followed.
 // The returned function stops them.
 func (n *Keeping) Start(
@@ -106,25 +106,25 @@
 	n.probes.port = port
 	n.heard = heard
 	main, stopMain := duty.StartOn[Event](n.clock, "keeper", n, n.ring)
-	writer, stopWriter := duty.StartOn[task](n.clock, "keeper-store", scribe{
+	writer, stopWriter := duty.StartOn[task](n.clock, "keeper-store", recordClient{
 		store: store,
 		ring:  n.ring,
-	}, n.scribe)
-	herald, stopHerald := duty.StartOn[rosemarylb.Promotion](n.clock, "keeper-promotions", herald{
+	}, n.recordClient)
+	promotionClient, stopHerald := duty.StartOn[rosemarylb.Promotion](n.clock, "keeper-promotions", promotionClient{
 		promoter: promoter,
 		ring:     n.ring,
-	}, n.herald)
+	}, n.promotionClient)
 	watch, stopWatch := duty.StartOn[struct{}](n.clock, "keeper-watch", &watcher{
-		store:  store,
-		ring:   n.ring,
-		latest: n.latest,
-		clock:  n.clock,
-		heard:  heard,
-		tells:  tells,
-		ears:   n.ears,
-		at:     n.clock.Now(),
+		store:   store,
+		ring:    n.ring,
+		latest:  n.latest,
+		clock:   n.clock,
+		heard:   heard,
+		tells:   tells,
+		witness: n.witness,
+		at:      n.clock.Now(),
 	}, duty.NewRing[struct{}]("keeper-watch", 1))
-	return []*duty.Duty{main, writer, herald, watch}, func() {
+	return []*duty.Duty{main, writer, promotionClient, watch}, func() {
 		stopWatch()
 		stopHerald()
 		stopWriter()
@@ -287,17 +287,17 @@
 		n.log.Info(e.Event, "group", e.Group, "endpoint", e.Endpoint, "term", e.Term, "reason", e.Reason,
 			"age-ms", e.AgeMillis, "token", n.keeper.Record().Token)
 	}
-	if d.Write != nil && !n.scribe.Offer(task{
+	if d.Write != nil && !n.recordClient.Offer(task{
 		write: d.Write,
 	}) {
 		n.keeper = n.keeper.WithUnanswered(now)
 	}
-	if d.Read && !n.scribe.Offer(task{}) {
+	if d.Read && !n.recordClient.Offer(task{}) {
 		n.keeper = n.keeper.WithUnread(now)
 	}
 	for _, p := range d.Promotions {
 		promotionsTotal.Inc()
-		if !n.herald.Offer(p) {
+		if !n.promotionClient.Offer(p) {
 			n.keeper = n.keeper.WithPromoted(p, rosemarylb.PromotionDeferred, now)
 		}
 	}
--- a/internal/failover/keeping/model_test.go
+++ b/internal/failover/keeping/model_test.go
@@ -80,7 +80,7 @@
 	id       rosemarylb.InstanceID
 	process  uint64
 	keeper   keeper.Keeper
-	ears     *Ears
+	witness  *Witness
 	permit   rosemarylb.Permit
 	pausedTo time.Time
 	deadTo   time.Time
@@ -138,7 +138,7 @@
 func (w *world) start(n *node, specs []rosemarylb.EndpointSpec) {
 	n.process = w.rand.Uint64()
 	n.keeper = keeper.NewKeeper(n.id, n.process, string(n.id)).WithEndpoints(specs)
-	n.ears = &Ears{}
+	n.witness = &Witness{}
 	n.permit = rosemarylb.Permit{}
 	n.queue = nil
 	n.cutFrom = map[rosemarylb.InstanceID]time.Time{}
@@ -400,7 +400,7 @@
 			back(func() {
 				n.storeAt = w.now
 				if revision > 0 {
-					n.ears.Learned(r.Token, w.now)
+					n.witness.Learned(r.Token, w.now)
 				}
 				then(r, revision)
 			})
@@ -488,13 +488,13 @@
 	askedAt := w.now
 	w.read(n, func(r keeper.Record, revision uint64) {
 		n.keeper = n.keeper.WithObserved(r, revision, w.now)
-		if n.ears.SilentFor(w.now) > 250*time.Millisecond {
+		if n.witness.SilentFor(w.now) > 250*time.Millisecond {
 			w.permit(n, permit.FromRecord(r, askedAt))
 		}
 		w.depose(n, r)
 	}, func() {})
 	r := n.keeper.Record()
-	if r.Holder == "" || !n.ears.Listens(r.Token) {
+	if r.Holder == "" || !n.witness.Listens(r.Token) {
 		return
 	}
 	holder := w.node(r.Holder)
@@ -521,7 +521,7 @@
 					if released != 0 {
 						n.keeper = n.keeper.WithReleased(released)
 					}
-					if keeps && n.ears.Heard(r.Token, askedAt) {
+					if keeps && n.witness.Heard(r.Token, askedAt) {
 						w.permit(n, permit.FromGrants(grants, askedAt))
 					}
 				})
@@ -540,7 +540,7 @@
 
 // depose does what the asker does when the holder is silent.
 func (w *world) depose(n *node, r keeper.Record) {
-	if r.Holder == "" || r.Holder == n.id || n.ears.SilentFor(w.now) < time.Second || w.now.Before(n.deposeAt) {
+	if r.Holder == "" || r.Holder == n.id || n.witness.SilentFor(w.now) < time.Second || w.now.Before(n.deposeAt) {
 		return
 	}
 	n.deposeAt = w.now.Add(800 * time.Millisecond)
@@ -552,7 +552,7 @@
 		others++
 		o := w.node(id)
 		reached := !w.now.Before(n.cutFrom[id]) && !w.now.Before(o.pausedTo) && !w.now.Before(o.deadTo)
-		if reached && o.ears.Promise(r.Token, w.now) {
+		if reached && o.witness.Promise(r.Token, w.now) {
 			promised++
 		}
 	}
--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -191,7 +191,7 @@
 		}
 		return errNotKeeper
 	}
-	if !a.keeping.Ears().Heard(a.token, now) {
+	if !a.keeping.Witness().Heard(a.token, now) {
 		return errDeposed
 	}
 	a.tell.Put(proxy.Shared{
@@ -262,7 +262,7 @@
 		EndpointsVersion: a.list,
 		CatalogVersion:   a.status.Load().Version,
 	}
-	for _, s := range a.status.Load().Sights {
+	for _, s := range a.status.Load().Observations {
 		q.Evidence = append(q.Evidence, &link.Evidence{
 			Group:          string(s.Group),
 			Primary:        string(s.Primary),
@@ -302,7 +302,7 @@
 	if address == "" {
 		return nil, errNoKeeper
 	}
-	if !a.keeping.Ears().Listens(token) {
+	if !a.keeping.Witness().Listens(token) {
 		return nil, errDeposed
 	}
 	a.token = token
--- a/internal/peer/instance/depose.go
+++ b/internal/peer/instance/depose.go
@@ -33,7 +33,7 @@
 // depose has the witnesses of a silent holder promise to listen to it no more,
 // and tells the keeper's duty when enough have.
 func (a *Asker) depose(now time.Time) {
-	silent := a.keeping.Ears().SilentFor(now)
+	silent := a.keeping.Witness().SilentFor(now)
 	if silent < deposeAfter+a.spread() || now.Before(a.deposeAt) || now.Sub(a.storeAt.Load()) > storeSpan {
 		return
 	}
@@ -73,7 +73,7 @@
 // promises asks one witness.
 func (a *Asker) promises(id rosemarylb.InstanceID, address string, token uint64) bool {
 	if id == a.self {
-		return a.keeping.Ears().Promise(token, a.clock.Now())
+		return a.keeping.Witness().Promise(token, a.clock.Now())
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()))
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -22,9 +22,9 @@
 type permitServer struct {
 	link.UnimplementedKeeperServer
 
-	clock rosemarylb.Clock
-	ring  *duty.Ring[keeping.Event]
-	ears  *keeping.Ears
+	clock   rosemarylb.Clock
+	ring    *duty.Ring[keeping.Event]
+	witness *keeping.Witness
 }
 
 // ServePermits answers other instances' questions on a listener. The returned
@@ -32,9 +32,9 @@
 func ServePermits(listener net.Listener, c rosemarylb.Clock, k *keeping.Keeping) func() {
 	s := grpc.NewServer()
 	link.RegisterKeeperServer(s, &permitServer{
-		clock: c,
-		ring:  k.Ring(),
-		ears:  k.Ears(),
+		clock:   c,
+		ring:    k.Ring(),
+		witness: k.Witness(),
 	})
 	wait := duty.Spawn(func() {
 		_ = s.Serve(listener)
@@ -67,7 +67,7 @@
 // Depose implements link.KeeperServer.
 func (s *permitServer) Depose(_ context.Context, q *link.DeposeRequest) (*link.DeposeReply, error) {
 	return &link.DeposeReply{
-		Promised: s.ears.Promise(q.GetToken(), s.clock.Now()),
+		Promised: s.witness.Promise(q.GetToken(), s.clock.Now()),
 	}, nil
 }
 
--- a/internal/traffic/proxy/follow.go
+++ b/internal/traffic/proxy/follow.go
@@ -12,7 +12,7 @@
 
 // following returns a connection to an endpoint in another region on which a
 // read may follow the one under way, nil if there is none.
-func (p *Proxy) following(l *lane) *link {
+func (p *Proxy) following(l *pool) *link {
 	if l.spec.Region == p.region {
 		return nil
 	}
--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -31,7 +31,7 @@
 )
 
 // limit returns how many connections this instance may hold to an endpoint.
-func (p *Proxy) limit(l *lane) int {
+func (p *Proxy) limit(l *pool) int {
 	offset := 0
 	for _, c := range l.spec.ID {
 		offset += int(c)
@@ -66,7 +66,7 @@
 }
 
 // openable reports whether one more connection may be opened now.
-func (l *lane) openable(limit int, now time.Time) bool {
+func (l *pool) openable(limit int, now time.Time) bool {
 	if now.Before(l.softUntil) {
 		limit = min(limit, l.softLimit)
 	}
@@ -74,7 +74,7 @@
 }
 
 // grow opens one more connection, unless enough are opening.
-func (p *Proxy) grow(l *lane, now time.Time) {
+func (p *Proxy) grow(l *pool, now time.Time) {
 	if !l.openable(p.limit(l), now) || l.count(linkOpening) >= 2 {
 		return
 	}
@@ -82,11 +82,11 @@
 }
 
 // add starts to open a connection.
-func (p *Proxy) add(l *lane, spec rosemarylb.EndpointSpec, now time.Time) {
+func (p *Proxy) add(l *pool, spec rosemarylb.EndpointSpec, now time.Time) {
 	p.number++
 	k := &link{
 		id:       rosemarylb.ConnectionID(p.number),
-		lane:     l,
+		pool:     l,
 		state:    linkOpening,
 		via:      spec.Via != "",
 		until:    now.Add(openTimeout),
@@ -114,8 +114,8 @@
 	k.state = linkIdle
 	k.until = now.Add(surplusSpan)
 	k.job = nil
-	k.seat = nil
-	l := k.lane
+	k.session = nil
+	l := k.pool
 	if l.gone || l.spec.Leaving || k.closing || !k.via && l.direct() > p.limit(l) || len(k.prepared) > preparedLimit {
 		p.drop(k, now)
 	}
@@ -124,9 +124,9 @@
 
 // clean rolls back what a session left on a connection.
 func (p *Proxy) clean(k *link, now time.Time) {
-	if k.seat != nil {
-		k.seat.link = nil
-		k.seat = nil
+	if k.session != nil {
+		k.session.link = nil
+		k.session = nil
 	}
 	k.job = nil
 	k.state = linkCleaning
@@ -150,15 +150,15 @@
 func (p *Proxy) remove(k *link) {
 	delete(p.links, k.id)
 	var rest []*link
-	for _, o := range k.lane.links {
+	for _, o := range k.pool.links {
 		if o != k {
 			rest = append(rest, o)
 		}
 	}
-	k.lane.links = rest
-	if k.seat != nil {
-		k.seat.link = nil
-		k.seat = nil
+	k.pool.links = rest
+	if k.session != nil {
+		k.session.link = nil
+		k.session = nil
 	}
 }
 
@@ -168,7 +168,7 @@
 	if !found {
 		return
 	}
-	l := k.lane
+	l := k.pool
 	opening := k.state == linkOpening
 	p.remove(k)
 	p.log.Info("connection lost", "endpoint", l.spec.ID, "connection", k.id, "state", k.state.String(),
@@ -198,10 +198,10 @@
 
 // failing notes a failure of an endpoint: reads go elsewhere for a moment, and
 // the keeper is told if it is the primary.
-func (p *Proxy) failing(l *lane, now time.Time) {
+func (p *Proxy) failing(l *pool, now time.Time) {
 	l.avoidTo = now.Add(openBackoff)
 	if l.spec.ID == l.group.permit.Primary {
-		l.group.sight = l.group.sight.withFailure(l.spec.ID, now)
+		l.group.observation = l.group.observation.withFailure(l.spec.ID, now)
 	}
 }
 
@@ -214,12 +214,12 @@
 		}
 		switch k.state {
 		case linkLeased:
-			s := k.seat
+			s := k.session
 			s.dialogue = s.dialogue.WithState(rosemarylb.TransactionFailed)
-			p.log.Info("transaction ended", "session", s.dialogue.ID(), "reason", "idle", "endpoint", k.lane.spec.ID)
+			p.log.Info("transaction ended", "session", s.dialogue.ID(), "reason", "idle", "endpoint", k.pool.spec.ID)
 			p.clean(k, now)
 		case linkIdle:
-			if k.via || k.lane.direct() > 1 {
+			if k.via || k.pool.direct() > 1 {
 				p.drop(k, now)
 			}
 		case linkOpening, linkCleaning:
@@ -236,7 +236,7 @@
 // there: the session's values and the prepared statement.
 func (k *link) prelude(j *job) []rosemarylb.Query {
 	var steps []rosemarylb.Query
-	d := j.seat.dialogue
+	d := j.session.dialogue
 	if k.key != d.Key() {
 		values := d.Values()
 		have := k.values
--- a/internal/traffic/proxy/sight.go
+++ b/internal/traffic/proxy/observation.go
@@ -15,8 +15,8 @@
 	failureSpan = 2 * openTimeout
 )
 
-// Sight is what this instance has seen of a group's primary.
-type Sight struct {
+// Observation is what this instance has seen of a group's primary.
+type Observation struct {
 	// Group is the replicated database.
 	Group rosemarylb.DatabaseName
 	// Primary is the endpoint that it is about.
@@ -29,8 +29,8 @@
 	FailedAt time.Time
 }
 
-// withAnswer returns the sight told of the answer to a query.
-func (s Sight) withAnswer(primary rosemarylb.EndpointID, sentAt time.Time) Sight {
+// withAnswer returns the observation told of the answer to a query.
+func (s Observation) withAnswer(primary rosemarylb.EndpointID, sentAt time.Time) Observation {
 	if s.Primary == primary && !sentAt.After(s.AnsweredAt) {
 		return s
 	}
@@ -41,8 +41,8 @@
 	return s
 }
 
-// withFailure returns the sight told of a failure.
-func (s Sight) withFailure(primary rosemarylb.EndpointID, now time.Time) Sight {
+// withFailure returns the observation told of a failure.
+func (s Observation) withFailure(primary rosemarylb.EndpointID, now time.Time) Observation {
 	if s.Primary != primary {
 		s.Primary = primary
 		s.AnsweredAt = time.Time{}
@@ -55,20 +55,20 @@
 	return s
 }
 
-// withoutOldFailure returns the sight without a failure that nothing has
+// withoutOldFailure returns the observation without a failure that nothing has
 // followed: what was tried since is unknown.
-func (s Sight) withoutOldFailure(now time.Time) Sight {
+func (s Observation) withoutOldFailure(now time.Time) Observation {
 	if now.Sub(s.FailedAt) > failureSpan {
 		s.FailingAt = time.Time{}
 	}
 	return s
 }
 
-// sight returns what was seen of a group's primary; a query that waits long
+// observation returns what was seen of a group's primary; a query that waits long
 // for its answer counts as a failure.
-func (p *Proxy) sight(g *group, now time.Time) Sight {
-	s := g.sight.withoutOldFailure(now)
-	l, found := p.lanes[g.permit.Primary]
+func (p *Proxy) observation(g *group, now time.Time) Observation {
+	s := g.observation.withoutOldFailure(now)
+	l, found := p.pools[g.permit.Primary]
 	if !found || s.Primary != g.permit.Primary || !s.FailingAt.IsZero() {
 		return s
 	}
--- a/internal/traffic/proxy/sight_test.go
+++ b/internal/traffic/proxy/observation_test.go
@@ -7,20 +7,20 @@
 	"rosemarylb"
 )
 
-func (b *bench) sightOfGroup() Sight {
-	return b.p.sight(b.p.groups["g"], b.now)
+func (b *bench) observationOfGroup() Observation {
+	return b.p.observation(b.p.groups["g"], b.now)
 }
 
 func TestAFailureOfAnEarlierTermIsNotHeldAgainstAPrimary(t *testing.T) {
 	b := newBench(t)
 	b.ask(1, rosemarylb.QueryWrite)
 	b.reply(b.take(), rosemarylb.ReplyReadOnly, none, position(1, 10))
-	if b.sightOfGroup().FailingAt.IsZero() {
+	if b.observationOfGroup().FailingAt.IsZero() {
 		t.Error("got no failure of a primary that refused a write, want one")
 	}
 	b.permit("e2", 2, time.Second)
 	b.permit("e1", 3, time.Second)
-	if got := b.sightOfGroup(); !got.FailingAt.IsZero() {
+	if got := b.observationOfGroup(); !got.FailingAt.IsZero() {
 		t.Errorf("got a failure of e1 since %s in its next term, want none", got.FailingAt)
 	}
 }
@@ -29,14 +29,14 @@
 	b := newBench(t)
 	b.ask(1, rosemarylb.QueryWrite)
 	b.lose(b.take())
-	if b.sightOfGroup().FailingAt.IsZero() {
+	if b.observationOfGroup().FailingAt.IsZero() {
 		t.Error("got no failure of a primary whose connection broke, want one")
 	}
 	for range 5 {
 		b.permit("e1", 1, time.Second)
 		b.pass(500 * time.Millisecond)
 	}
-	if got := b.sightOfGroup(); !got.FailingAt.IsZero() {
+	if got := b.observationOfGroup(); !got.FailingAt.IsZero() {
 		t.Errorf("got a failure since %s of a primary that nothing was asked since, want none", got.FailingAt)
 	}
 }
--- a/internal/traffic/proxy/place.go
+++ b/internal/traffic/proxy/place.go
@@ -19,10 +19,10 @@
 	initialLatency = 15 * time.Millisecond
 )
 
-func newJob(number uint64, s *seat, q rosemarylb.Query, now time.Time) *job {
+func newJob(number uint64, s *session, q rosemarylb.Query, now time.Time) *job {
 	j := &job{
 		number:    number,
-		seat:      s,
+		session:   s,
 		route:     s.route,
 		query:     q,
 		arrivedAt: now,
@@ -44,11 +44,11 @@
 }
 
 // primary returns the endpoint that may be used as the group's primary.
-func (p *Proxy) primary(g *group, now time.Time) *lane {
+func (p *Proxy) primary(g *group, now time.Time) *pool {
 	if !now.Before(g.permit.Until) || g.demoted >= g.permit.Term {
 		return nil
 	}
-	l, found := p.lanes[g.permit.Primary]
+	l, found := p.pools[g.permit.Primary]
 	if !found {
 		return nil
 	}
@@ -58,8 +58,8 @@
 // mayRead reports whether some endpoint has a free connection for a read, and
 // opens more where none has.
 func (p *Proxy) mayRead(g *group, now time.Time) bool {
-	var best *lane
-	for _, l := range g.lanes {
+	var best *pool
+	for _, l := range g.pools {
 		if !p.reads(l, now) {
 			continue
 		}
@@ -79,17 +79,17 @@
 }
 
 // reads reports whether an endpoint may be given reads now.
-func (p *Proxy) reads(l *lane, now time.Time) bool {
+func (p *Proxy) reads(l *pool, now time.Time) bool {
 	return !l.gone && !l.spec.Leaving && !now.Before(l.avoidTo)
 }
 
 // choose returns the endpoint with a free connection that answers a read
 // soonest, nil when none may serve it.
-func (p *Proxy) choose(g *group, j *job, now time.Time) *lane {
-	required, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
+func (p *Proxy) choose(g *group, j *job, now time.Time) *pool {
+	required, covered := g.samples.Required(j.asOf, j.session.dialogue.Floor())
 	primary := p.primary(g, now)
-	var best *lane
-	for _, l := range g.lanes {
+	var best *pool
+	for _, l := range g.pools {
 		if !p.reads(l, now) || j.avoids(l.spec.ID) || l.count(linkIdle) == 0 && p.following(l) == nil {
 			continue
 		}
@@ -109,13 +109,13 @@
 
 // lacks reports whether a replica is known to lack a position. After a while
 // it is asked again.
-func (l *lane) lacks(required rosemarylb.Position, now time.Time) bool {
+func (l *pool) lacks(required rosemarylb.Position, now time.Time) bool {
 	return now.Before(l.behindTo) && l.applied.Less(required)
 }
 
 // widen opens a connection to a nearer endpoint than the best that is free.
-func (p *Proxy) widen(g *group, j *job, best *lane, now time.Time) {
-	for _, l := range g.lanes {
+func (p *Proxy) widen(g *group, j *job, best *pool, now time.Time) {
+	for _, l := range g.pools {
 		if l == best || j.avoids(l.spec.ID) || !p.reads(l, now) || l.count(linkIdle) > 0 {
 			continue
 		}
@@ -126,7 +126,7 @@
 }
 
 // cost is the time in which an endpoint is expected to answer a read.
-func (p *Proxy) cost(l *lane) time.Duration {
+func (p *Proxy) cost(l *pool) time.Duration {
 	c := l.pace.latency
 	if c == 0 {
 		c = initialLatency
@@ -145,7 +145,7 @@
 
 // place runs a query on the free connection of an endpoint that suits it best,
 // or behind another read.
-func (p *Proxy) place(j *job, l *lane, now time.Time) {
+func (p *Proxy) place(j *job, l *pool, now time.Time) {
 	var best *link
 	for _, k := range l.links {
 		if k.state != linkIdle || !j.mayUse(k) {
@@ -174,7 +174,7 @@
 		return -1
 	}
 	switch k.key {
-	case j.seat.dialogue.Key():
+	case j.session.dialogue.Key():
 		return 2
 	case "":
 		return 1
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -45,19 +45,19 @@
 	ring      *duty.Ring[Event]
 	status    *duty.Latest[Status]
 
-	catalog rosemarylb.Catalog
-	share   rosemarylb.Share
-	groups  map[rosemarylb.DatabaseName]*group
-	lanes   map[rosemarylb.EndpointID]*lane
-	links   map[rosemarylb.ConnectionID]*link
-	seats   map[rosemarylb.SessionID]*seat
-	known   bool
-	joins   []Joined
-	peers   []rosemarylb.Peer
-	number  uint64
-	tickAt  time.Time
-	jobs    int
-	drain   Drained
+	catalog  rosemarylb.Catalog
+	share    rosemarylb.Share
+	groups   map[rosemarylb.DatabaseName]*group
+	pools    map[rosemarylb.EndpointID]*pool
+	links    map[rosemarylb.ConnectionID]*link
+	sessions map[rosemarylb.SessionID]*session
+	known    bool
+	joins    []Joined
+	peers    []rosemarylb.Peer
+	number   uint64
+	tickAt   time.Time
+	jobs     int
+	drain    Drained
 }
 
 // Status is what other duties read of the proxy.
@@ -68,8 +68,8 @@
 	Empty bool
 	// Version is that of the configuration in force, 0 for none.
 	Version uint64
-	// Sights are what it has seen of primaries.
-	Sights []Sight
+	// Observations are what it has seen of primaries.
+	Observations []Observation
 }
 
 // Option changes a proxy under construction.
@@ -100,11 +100,11 @@
 		status: duty.NewLatest(Status{
 			Empty: true,
 		}),
-		groups: map[rosemarylb.DatabaseName]*group{},
-		lanes:  map[rosemarylb.EndpointID]*lane{},
-		links:  map[rosemarylb.ConnectionID]*link{},
-		seats:  map[rosemarylb.SessionID]*seat{},
-		tickAt: time.Unix(1, 0),
+		groups:   map[rosemarylb.DatabaseName]*group{},
+		pools:    map[rosemarylb.EndpointID]*pool{},
+		links:    map[rosemarylb.ConnectionID]*link{},
+		sessions: map[rosemarylb.SessionID]*session{},
+		tickAt:   time.Unix(1, 0),
 	}
 	for _, o := range options {
 		o(p)
@@ -154,7 +154,7 @@
 		p.share = e.Share
 	case Drained:
 		p.drain = e
-		p.log.Info("drain", "sessions", len(p.seats))
+		p.log.Info("drain", "sessions", len(p.sessions))
 	}
 }
 
@@ -175,7 +175,7 @@
 	}
 	p.expireLinks(now)
 	if !p.drain.CloseAt.IsZero() {
-		p.closeSeats(now)
+		p.closeSessions(now)
 	}
 	p.publish(now)
 }
@@ -183,12 +183,12 @@
 func (p *Proxy) publish(now time.Time) {
 	s := Status{
 		Ready:   p.ready(now),
-		Empty:   len(p.seats) == 0,
+		Empty:   len(p.sessions) == 0,
 		Version: p.catalog.Version,
 	}
 	for _, g := range p.groups {
-		if sight := p.sight(g, now); sight.Primary != "" {
-			s.Sights = append(s.Sights, sight)
+		if observation := p.observation(g, now); observation.Primary != "" {
+			s.Observations = append(s.Observations, observation)
 		}
 	}
 	p.status.Store(s)
@@ -217,7 +217,7 @@
 		name:  name,
 		lines: newLines(),
 		jobs:  map[uint64]*job{},
-		sight: Sight{
+		observation: Observation{
 			Group: name,
 		},
 	}
@@ -238,7 +238,7 @@
 	for name := range e.Catalog.Groups {
 		p.group(name)
 	}
-	for _, l := range p.lanes {
+	for _, l := range p.pools {
 		l.spec = l.spec.WithPlace(l.spec.Region, e.Catalog.Groups[l.group.name].Connections)
 	}
 	p.log.Info("configuration in force", "version", e.Catalog.Version, "routes", len(e.Catalog.Routes))
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -86,7 +86,7 @@
 }
 
 // relayRoute is the route of a query that another instance passes on.
-func relayRoute(s *seat, q rosemarylb.Query) rosemarylb.Route {
+func relayRoute(s *session, q rosemarylb.Query) rosemarylb.Route {
 	return rosemarylb.Route{
 		Group:         rosemarylb.DatabaseName(s.dialogue.Database()),
 		Consistency:   rosemarylb.ConsistencyPrimary,
@@ -99,7 +99,7 @@
 // instance has passed on isn't passed on again.
 func (g *group) ownWaits() bool {
 	for _, j := range g.jobs {
-		if j.seat.relayFor == "" {
+		if j.session.relayFor == "" {
 			return true
 		}
 	}
@@ -108,18 +108,18 @@
 
 // mayUse reports whether a job may run on a connection.
 func (j *job) mayUse(k *link) bool {
-	return !k.via || j.seat.relayFor == ""
+	return !k.via || j.session.relayFor == ""
 }
 
 // misplaced reports whether a query was passed on for another primary than the
 // group's.
-func (j *job) misplaced(l *lane) bool {
-	return j.seat.relayFor != "" && j.seat.relayFor != l.spec.ID
+func (j *job) misplaced(l *pool) bool {
+	return j.session.relayFor != "" && j.session.relayFor != l.spec.ID
 }
 
 // growRelay opens a connection to a primary through another instance near it,
 // which may have one that is free while those of this instance are in use.
-func (p *Proxy) growRelay(l *lane, now time.Time) {
+func (p *Proxy) growRelay(l *pool, now time.Time) {
 	if now.Before(l.relayAt) || l.relays() >= relayLimit || l.count(linkOpening) > 1 || !l.group.ownWaits() {
 		return
 	}
@@ -140,7 +140,7 @@
 // closeRelays closes the connections through other instances to a former
 // primary: what they pass on is for primaries alone.
 func (p *Proxy) closeRelays(former rosemarylb.EndpointID, now time.Time) {
-	l, found := p.lanes[former]
+	l, found := p.pools[former]
 	if !found {
 		return
 	}
@@ -156,7 +156,7 @@
 }
 
 // relays counts the connections through other instances.
-func (l *lane) relays() int {
+func (l *pool) relays() int {
 	n := 0
 	for _, k := range l.links {
 		if k.via {
@@ -167,6 +167,6 @@
 }
 
 // direct counts the connections to the endpoint itself.
-func (l *lane) direct() int {
+func (l *pool) direct() int {
 	return len(l.links) - l.relays()
 }
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -72,10 +72,10 @@
 	b.join(11, "primary")
 	b.ask(11, rosemarylb.QueryBegin)
 	b.ask(11, rosemarylb.QueryWrite)
-	before := b.p.groups["g"].sight.AnsweredAt
+	before := b.p.groups["g"].observation.AnsweredAt
 	b.pass(10 * time.Millisecond)
 	b.reply(b.take(), rosemarylb.ReplyDone, opened, rosemarylb.Position{})
-	if got := b.p.groups["g"].sight.AnsweredAt; got != before {
+	if got := b.p.groups["g"].observation.AnsweredAt; got != before {
 		t.Errorf("got the primary alive at %s by a begin answered in between, want %s", got, before)
 	}
 }
@@ -177,7 +177,7 @@
 		{"e2", 1},
 	}
 	for _, c := range tests {
-		if got := b.p.limit(b.p.lanes[c.endpoint]); got != c.want {
+		if got := b.p.limit(b.p.pools[c.endpoint]); got != c.want {
 			t.Errorf("%s: got %d connections, want %d", c.endpoint, got, c.want)
 		}
 	}
@@ -263,10 +263,10 @@
 		b.crowd(test.near, test.far)
 		near, far := spec("e8", "r"), spec("e9", "far")
 		near.Connections, far.Connections = test.connections, test.connections
-		gotNear := b.p.limit(&lane{
+		gotNear := b.p.limit(&pool{
 			spec: near,
 		})
-		gotFar := b.p.limit(&lane{
+		gotFar := b.p.limit(&pool{
 			spec: far,
 		})
 		if gotNear != test.wantNear || gotFar != test.wantFar {
--- a/internal/traffic/proxy/run.go
+++ b/internal/traffic/proxy/run.go
@@ -10,8 +10,8 @@
 // run sends a query on a connection, after what has to be laid onto it.
 func (p *Proxy) run(j *job, k *link, now time.Time) {
 	p.prepare(j, k)
-	k.seat = nil
-	j.seat.link = nil
+	k.session = nil
+	j.session.link = nil
 	k.state = linkBusy
 	k.job = j
 	k.until = time.Time{}
@@ -19,7 +19,7 @@
 	query := p.waiting(j, k)
 	if j.begin {
 		kind := rosemarylb.QueryBegin
-		if j.seat.dialogue.ReadOnly() {
+		if j.session.dialogue.ReadOnly() {
 			kind = rosemarylb.QueryBeginRead
 		}
 		j.steps = append(j.steps, rosemarylb.Query{
@@ -34,10 +34,10 @@
 
 // prepare notes where a query runs, and the term that its answer relies on.
 func (p *Proxy) prepare(j *job, k *link) {
-	g := k.lane.group
+	g := k.pool.group
 	j.attempts++
 	j.link = k
-	j.at = k.lane.spec.ID
+	j.at = k.pool.spec.ID
 	j.wait = rosemarylb.Position{}
 	j.sent = false
 	j.term = 0
@@ -45,7 +45,7 @@
 	case j.inside && !j.begin:
 		// The transaction keeps the term that it began in.
 		j.term = k.term
-	case k.lane.spec.ID == g.permit.Primary:
+	case k.pool.spec.ID == g.permit.Primary:
 		j.term = g.permit.Term
 	}
 }
@@ -53,11 +53,11 @@
 // waiting returns a job's query with the position that a replica has to hold
 // for it.
 func (p *Proxy) waiting(j *job, k *link) rosemarylb.Query {
-	g := k.lane.group
-	if k.lane.spec.ID == g.permit.Primary || j.inside && !j.begin {
+	g := k.pool.group
+	if k.pool.spec.ID == g.permit.Primary || j.inside && !j.begin {
 		return j.query
 	}
-	wait, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
+	wait, covered := g.samples.Required(j.asOf, j.session.dialogue.Floor())
 	rosemarylb.Invariantf(covered, "%s was placed on a replica without a position to see", j.query.ID)
 	j.wait = wait
 	return j.query.WithWait(wait)
@@ -107,18 +107,18 @@
 
 // observe learns from a reply: positions of the primary and its life.
 func (p *Proxy) observe(k *link, j *job, r rosemarylb.Reply, now time.Time) {
-	g := k.lane.group
-	if k.lane.applied.Less(r.Position) {
-		k.lane.applied = r.Position
+	g := k.pool.group
+	if k.pool.applied.Less(r.Position) {
+		k.pool.applied = r.Position
 	}
-	if k.lane.spec.ID != g.permit.Primary || r.Code == rosemarylb.ReplyReadOnly {
+	if k.pool.spec.ID != g.permit.Primary || r.Code == rosemarylb.ReplyReadOnly {
 		return
 	}
 	if r.Position.IsZero() {
 		// The instance in between answered by itself.
 		return
 	}
-	g.sight = g.sight.withAnswer(k.lane.spec.ID, j.sentAt)
+	g.observation = g.observation.withAnswer(k.pool.spec.ID, j.sentAt)
 	if g.permit.Covers(r.Position.Term, now) {
 		g.samples = g.samples.WithSample(sample(j.sentAt, r.Position))
 	}
@@ -131,12 +131,12 @@
 		j.link = nil
 		k.job = nil
 		if step.Kind == rosemarylb.QueryBegin || step.Kind == rosemarylb.QueryBeginRead {
-			p.again(j, k.lane, r.Code, now)
+			p.again(j, k.pool, r.Code, now)
 			p.settleLink(k, r.State, now)
 			return
 		}
 		p.drop(k, now)
-		p.again(j, k.lane, rosemarylb.ReplyAborted, now)
+		p.again(j, k.pool, rosemarylb.ReplyAborted, now)
 		return
 	}
 	k.laid(step)
@@ -156,7 +156,7 @@
 
 // answered takes the reply to the query itself.
 func (p *Proxy) answered(j *job, k *link, r rosemarylb.Reply, now time.Time) {
-	l := k.lane
+	l := k.pool
 	if r.Code == rosemarylb.ReplyDone {
 		l.pace = l.pace.withAnswer(now.Sub(j.sentAt))
 	}
@@ -196,18 +196,18 @@
 func (p *Proxy) keepLink(j *job, k *link, r rosemarylb.Reply, now time.Time) {
 	stays := j.inside && r.State == rosemarylb.TransactionOpen && j.query.Kind != rosemarylb.QueryCommit
 	if !stays {
-		if k.seat != nil {
-			k.seat.link = nil
-			k.seat = nil
+		if k.session != nil {
+			k.session.link = nil
+			k.session = nil
 		}
 		p.settleLink(k, r.State, now)
 		return
 	}
 	k.state = linkLeased
-	k.seat = j.seat
+	k.session = j.session
 	k.until = now.Add(p.idleLimit())
-	j.seat.link = k
-	j.seat.dialogue = j.seat.dialogue.WithBegun()
+	j.session.link = k
+	j.session.dialogue = j.session.dialogue.WithBegun()
 }
 
 // settleLink frees a connection, after a roll back if a transaction is open.
@@ -248,7 +248,7 @@
 )
 
 // again has a query that had no effect wait for another try.
-func (p *Proxy) again(j *job, l *lane, code rosemarylb.ReplyCode, now time.Time) {
+func (p *Proxy) again(j *job, l *pool, code rosemarylb.ReplyCode, now time.Time) {
 	if j.orphan() {
 		p.jobs--
 		return
@@ -265,7 +265,7 @@
 		l.avoidTo = now.Add(busyPause)
 	case rosemarylb.ReplyReadOnly:
 		pause = demotedPause
-		g.sight = g.sight.withFailure(l.spec.ID, now)
+		g.observation = g.observation.withFailure(l.spec.ID, now)
 		g.demoted = max(g.demoted, j.term)
 		g.demotedAt = now
 	case rosemarylb.ReplyNoStatement:
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -29,7 +29,7 @@
 		return
 	}
 	sessionsTotal.Inc()
-	p.seats[e.Session] = &seat{
+	p.sessions[e.Session] = &session{
 		dialogue: dialogue.NewDialogue(e.Session, e.Database),
 		relayFor: e.Endpoint,
 	}
@@ -37,14 +37,14 @@
 }
 
 func (p *Proxy) left(e Left, now time.Time) {
-	s, found := p.seats[e.Session]
+	s, found := p.sessions[e.Session]
 	if !found {
 		p.joins = slices.DeleteFunc(p.joins, func(j Joined) bool {
 			return j.Session == e.Session
 		})
 		return
 	}
-	delete(p.seats, e.Session)
+	delete(p.sessions, e.Session)
 	j := s.job
 	s.job = nil
 	if j != nil && j.link == nil {
@@ -55,7 +55,7 @@
 
 // asked takes a query of a session; those that come before an answer wait.
 func (p *Proxy) asked(e Asked, now time.Time) {
-	s, found := p.seats[e.Session]
+	s, found := p.sessions[e.Session]
 	if !found {
 		return
 	}
@@ -71,7 +71,7 @@
 }
 
 // begin answers a query itself or sends it on its way.
-func (p *Proxy) begin(s *seat, q rosemarylb.Query, now time.Time) {
+func (p *Proxy) begin(s *session, q rosemarylb.Query, now time.Time) {
 	if s.dialogue.State() == rosemarylb.TransactionNone || s.relayFor != "" {
 		route, found := p.route(s, q)
 		if !found {
@@ -107,7 +107,7 @@
 }
 
 // route returns how a query of a session is served.
-func (p *Proxy) route(s *seat, q rosemarylb.Query) (rosemarylb.Route, bool) {
+func (p *Proxy) route(s *session, q rosemarylb.Query) (rosemarylb.Route, bool) {
 	if s.relayFor != "" {
 		return relayRoute(s, q), true
 	}
@@ -116,13 +116,13 @@
 }
 
 // release gives up the connection of a transaction that has ended.
-func (p *Proxy) release(s *seat, now time.Time) {
+func (p *Proxy) release(s *session, now time.Time) {
 	if s.link != nil {
 		p.clean(s.link, now)
 	}
 }
 
-func (p *Proxy) hangUp(s *seat, now time.Time) {
+func (p *Proxy) hangUp(s *session, now time.Time) {
 	p.closeSession(s.dialogue.ID())
 	p.left(Left{
 		Session: s.dialogue.ID(),
--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -23,7 +23,7 @@
 // slots returns how many queries of a queue can run at the same time.
 func (p *Proxy) slots(g *group, primary bool, now time.Time) int {
 	n := 0
-	for _, l := range g.lanes {
+	for _, l := range g.pools {
 		if primary && l.spec.ID != g.permit.Primary || !p.reads(l, now) || now.Before(l.behindTo) {
 			continue
 		}
@@ -34,7 +34,7 @@
 
 // deliver gives the caller an endpoint's reply.
 func (p *Proxy) deliver(j *job, r rosemarylb.Reply, now time.Time) {
-	s := j.seat
+	s := j.session
 	d := s.dialogue
 	if r.Code == rosemarylb.ReplyDone && j.query.MayCommit(j.inside) && j.term != 0 {
 		d = d.WithFloor(r.Position)
@@ -53,7 +53,7 @@
 
 // finish answers a query in the state that its session is in.
 func (p *Proxy) finish(j *job, r rosemarylb.Reply, now time.Time) {
-	s := j.seat
+	s := j.session
 	p.jobs--
 	if j.orphan() {
 		return
@@ -70,7 +70,7 @@
 
 // finishRefused ends the transaction of a query that was not answered.
 func (p *Proxy) finishRefused(j *job) {
-	s := j.seat
+	s := j.session
 	if s.dialogue.State() != rosemarylb.TransactionOpen {
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 // resume starts the next query that a session sent meanwhile.
-func (p *Proxy) resume(s *seat, now time.Time) {
+func (p *Proxy) resume(s *session, now time.Time) {
 	for s.job == nil && len(s.waiting) > 0 {
 		q := s.waiting[0]
 		s.waiting = s.waiting[1:]
@@ -133,7 +133,7 @@
 	}
 	if !j.sent || j.onlyReads() && (!j.inside || j.begin) {
 		if !j.inside || j.begin {
-			p.again(j, k.lane, rosemarylb.ReplyAborted, now)
+			p.again(j, k.pool, rosemarylb.ReplyAborted, now)
 			return
 		}
 	}
@@ -163,7 +163,7 @@
 		if n.Term > g.permit.Term || n.Primary != g.permit.Primary {
 			p.log.Info("primary changed", "group", n.Group, "primary", n.Primary, "term", n.Term,
 				"before", g.permit.Primary, "before-term", g.permit.Term)
-			g.sight = Sight{
+			g.observation = Observation{
 				Group: n.Group,
 			}
 			p.closeRelays(g.permit.Primary, now)
@@ -213,7 +213,7 @@
 		p.deliver(j, h.reply, now)
 		return
 	}
-	s := j.seat
+	s := j.session
 	p.release(s, now)
 	if !j.inside && j.onlyReads() && now.Before(j.deadline) {
 		p.enqueue(p.group(j.route.Group), j, now)
@@ -231,7 +231,7 @@
 	}
 	p.refuseHopeless(g, now)
 	p.recheck(g, now)
-	for _, l := range g.lanes {
+	for _, l := range g.pools {
 		for _, k := range l.links {
 			if k.state == linkBusy && k.job != nil && now.After(k.job.deadline) {
 				p.overdue(k, now)
@@ -245,7 +245,7 @@
 	j := k.job
 	p.endpoints.Close(k.id)
 	if !k.via {
-		p.failing(k.lane, now)
+		p.failing(k.pool, now)
 	}
 	p.remove(k)
 	j.link = nil
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -8,8 +8,8 @@
 	"rosemarylb/internal/traffic/freshness"
 )
 
-// seat is a caller's session and what it waits for.
-type seat struct {
+// session is a caller's session and what it waits for.
+type session struct {
 	dialogue dialogue.Dialogue
 	route    rosemarylb.Route
 	// relayFor is the endpoint that another instance passes queries on for,
@@ -23,7 +23,7 @@
 // job is one query on its way through an endpoint.
 type job struct {
 	number    uint64
-	seat      *seat
+	session   *session
 	route     rosemarylb.Route
 	query     rosemarylb.Query
 	primary   bool
@@ -46,7 +46,7 @@
 
 // orphan reports whether nobody waits for the job any more.
 func (j *job) orphan() bool {
-	return j.seat.job != j
+	return j.session.job != j
 }
 
 // onlyReads reports whether running the job twice does no harm.
@@ -57,7 +57,7 @@
 // mayLast reports whether the job can make changes last: a single write, or
 // the commit of a transaction that wrote.
 func (j *job) mayLast() bool {
-	return j.query.MayCommit(j.inside) && (!j.inside || j.seat.dialogue.Wrote())
+	return j.query.MayCommit(j.inside) && (!j.inside || j.session.dialogue.Wrote())
 }
 
 // avoids reports whether an endpoint could not serve the job before.
@@ -91,12 +91,12 @@
 // link is a connection to an endpoint and what was laid onto it.
 type link struct {
 	id       rosemarylb.ConnectionID
-	lane     *lane
+	pool     *pool
 	state    linkState
 	until    time.Time
 	job      *job
 	behind   []*job
-	seat     *seat
+	session  *session
 	values   map[string]string
 	key      string
 	prepared map[string]struct{}
@@ -106,8 +106,8 @@
 	via bool
 }
 
-// lane is one endpoint and the connections to it.
-type lane struct {
+// pool is one endpoint and the connections to it.
+type pool struct {
 	spec      rosemarylb.EndpointSpec
 	group     *group
 	links     []*link
@@ -122,7 +122,7 @@
 	softUntil time.Time
 }
 
-func (l *lane) count(s linkState) int {
+func (l *pool) count(s linkState) int {
 	n := 0
 	for _, k := range l.links {
 		if k.state == s {
@@ -134,15 +134,15 @@
 
 // group is a replicated database.
 type group struct {
-	name    rosemarylb.DatabaseName
-	permit  rosemarylb.Permit
-	samples freshness.Samples
-	lanes   []*lane
-	lines   [lineCount]rosemarylb.Queue
-	jobs    map[uint64]*job
-	parked  []*job
-	held    []held
-	sight   Sight
+	name        rosemarylb.DatabaseName
+	permit      rosemarylb.Permit
+	samples     freshness.Samples
+	pools       []*pool
+	lines       [lineCount]rosemarylb.Queue
+	jobs        map[uint64]*job
+	parked      []*job
+	held        []held
+	observation Observation
 	// leaderless is since when no endpoint may be used as the primary, zero while
 	// one may.
 	leaderless time.Time
--- a/internal/traffic/proxy/view.go
+++ b/internal/traffic/proxy/view.go
@@ -14,7 +14,7 @@
 		seen[spec.ID] = true
 		p.register(spec, now)
 	}
-	for id, l := range p.lanes {
+	for id, l := range p.pools {
 		if seen[id] || l.gone {
 			continue
 		}
@@ -29,7 +29,7 @@
 
 func (p *Proxy) register(spec rosemarylb.EndpointSpec, now time.Time) {
 	spec = spec.WithPlace(spec.Region, p.catalog.Groups[spec.Database].Connections)
-	l, found := p.lanes[spec.ID]
+	l, found := p.pools[spec.ID]
 	if found && l.spec.Database != spec.Database {
 		l.gone = true
 		p.closeIdle(l, now)
@@ -38,11 +38,11 @@
 	}
 	if !found {
 		g := p.group(spec.Database)
-		l = &lane{
+		l = &pool{
 			group: g,
 		}
-		g.lanes = append(g.lanes, l)
-		p.lanes[spec.ID] = l
+		g.pools = append(g.pools, l)
+		p.pools[spec.ID] = l
 	}
 	moved := found && (l.spec.Address != spec.Address || l.spec.Born != spec.Born)
 	if !found || l.gone || moved || l.spec.Leaving != spec.Leaving {
@@ -62,19 +62,19 @@
 }
 
 // remove takes an endpoint out of a group.
-func (g *group) remove(l *lane) {
-	var rest []*lane
-	for _, o := range g.lanes {
+func (g *group) remove(l *pool) {
+	var rest []*pool
+	for _, o := range g.pools {
 		if o != l {
 			rest = append(rest, o)
 		}
 	}
-	g.lanes = rest
+	g.pools = rest
 }
 
 // closeIdle closes the free connections to an endpoint, and those in use once
 // they are free.
-func (p *Proxy) closeIdle(l *lane, now time.Time) {
+func (p *Proxy) closeIdle(l *pool, now time.Time) {
 	for _, k := range l.links {
 		k.closing = true
 		if k.state == linkIdle {
@@ -89,14 +89,14 @@
 	return !p.drain.CloseAt.IsZero() && !now.Before(p.drain.CloseAt)
 }
 
-// closeSeats ends sessions while the instance shuts down: idle ones first,
+// closeSessions ends sessions while the instance shuts down: idle ones first,
 // then those with an open transaction.
-func (p *Proxy) closeSeats(now time.Time) {
+func (p *Proxy) closeSessions(now time.Time) {
 	if !p.closesIdle(now) {
 		return
 	}
 	abort := !now.Before(p.drain.AbortAt)
-	for _, s := range p.seats {
+	for _, s := range p.sessions {
 		if s.job != nil || len(s.waiting) > 0 {
 			continue
 		}
@@ -135,11 +135,11 @@
 // Dump implements duty.Handler.
 func (p *Proxy) Dump() any {
 	r := Report{
-		Sessions: len(p.seats),
+		Sessions: len(p.sessions),
 		Jobs:     p.jobs,
 		Version:  p.catalog.Version,
 	}
-	for id, l := range p.lanes {
+	for id, l := range p.pools {
 		counts := map[string]int{}
 		for _, k := range l.links {
 			counts[k.state.String()]++
--- a/internal/traffic/proxy/wait.go
+++ b/internal/traffic/proxy/wait.go
@@ -63,12 +63,12 @@
 // one.
 func (p *Proxy) start(j *job, now time.Time) {
 	if j.inside && !j.begin {
-		l := j.seat.link
+		l := j.session.link
 		if l == nil {
 			p.failTransaction(j, "the connection of the transaction is gone", now)
 			return
 		}
-		if l.term != 0 && l.term < l.lane.group.permit.Term {
+		if l.term != 0 && l.term < l.pool.group.permit.Term {
 			p.clean(l, now)
 			p.failTransaction(j, "the primary of the transaction was replaced", now)
 			return
@@ -123,7 +123,7 @@
 	if j.primary {
 		return true
 	}
-	_, covered := g.samples.Required(j.asOf, j.seat.dialogue.Floor())
+	_, covered := g.samples.Required(j.asOf, j.session.dialogue.Floor())
 	return !covered
 }
 
