Pass queries on while the opening of a connection stalls

Cause: an instance cut off from a primary opened connections that never answered, and its queries waited for them for a second and more though other instances reached it.

Change: once an opening takes 150 ms, queries for the primary pass through another instance. Test: relay_test.go (failed before).

--- a/internal/traffic/proxy/links.go
+++ b/internal/traffic/proxy/links.go
@@ -10,6 +10,9 @@
 const (
 	// openTimeout bounds the opening of a connection.
 	openTimeout = time.Second
+	// stallSpan is how long an opening may take before queries are passed on
+	// meanwhile: a few round trips between regions and a slow handshake.
+	stallSpan = 150 * time.Millisecond
 	// cleanTimeout bounds the roll back of a transaction.
 	cleanTimeout = time.Second
 	// openBackoff is the wait after a connection could not be opened.
@@ -73,6 +76,17 @@
 	return !l.gone && l.direct() < limit && !now.Before(l.openAt)
 }
 
+// stalls reports whether a connection is opening for so long that the endpoint
+// may be out of this instance's reach.
+func (l *pool) stalls(now time.Time) bool {
+	for _, k := range l.links {
+		if k.state == linkOpening && !k.via && now.After(k.until.Add(stallSpan-openTimeout)) {
+			return true
+		}
+	}
+	return false
+}
+
 // grow opens one more connection, unless enough are opening.
 func (p *Proxy) grow(l *pool, now time.Time) {
 	if !l.openable(p.limit(l), now) || l.count(linkOpening) >= 2 {
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -120,7 +120,7 @@
 // growRelay opens a connection to a primary through another instance near it,
 // which may have one that is free while those of this instance are in use.
 func (p *Proxy) growRelay(l *pool, now time.Time) {
-	if now.Before(l.relayAt) || l.relays() >= relayLimit || l.count(linkOpening) > 1 || !l.group.ownWaits() {
+	if now.Before(l.relayAt) || l.relays() >= relayLimit || l.relaysOpening() > 1 || !l.group.ownWaits() {
 		return
 	}
 	var near []rosemarylb.Peer
@@ -166,6 +166,17 @@
 	return n
 }
 
+// relaysOpening counts those of them that are not open yet.
+func (l *pool) relaysOpening() int {
+	n := 0
+	for _, k := range l.links {
+		if k.via && k.state == linkOpening {
+			n++
+		}
+	}
+	return n
+}
+
 // direct counts the connections to the endpoint itself.
 func (l *pool) direct() int {
 	return len(l.links) - l.relays()
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -311,3 +311,39 @@
 		}
 	}
 }
+
+func TestAPrimaryOutOfReachIsReachedThroughAnotherInstance(t *testing.T) {
+	b := newBench(t)
+	b.p.relays = b
+	b.crowd(2, 2)
+	b.handle(Asked{
+		Session: 1,
+		Query: rosemarylb.Query{
+			ID:     "q",
+			Kind:   rosemarylb.QueryWrite,
+			Writes: true,
+		},
+	})
+	direct := 0
+	for end := b.now.Add(stallSpan + 50*time.Millisecond); b.now.Before(end); b.now = b.now.Add(5 * time.Millisecond) {
+		b.p.Tick(b.now)
+		opening := b.opening
+		b.opening = nil
+		for _, id := range opening {
+			if b.via[id] == "" {
+				// The endpoint never answers.
+				direct++
+				continue
+			}
+			b.handle(Opened{
+				Connection: id,
+			})
+		}
+	}
+	if direct == 0 {
+		t.Error("got no connection to the endpoint itself tried, want one")
+	}
+	if s := b.take(); b.via[s.id] == "" || s.query.Kind != rosemarylb.QueryWrite {
+		t.Errorf("got %s by way of %q, want the write through another instance", s.query.Kind, b.via[s.id])
+	}
+}
--- a/internal/traffic/proxy/wait.go
+++ b/internal/traffic/proxy/wait.go
@@ -283,7 +283,9 @@
 	}
 	if primary.openable(p.limit(primary), now) {
 		p.grow(primary, now)
-		return false
+		if !primary.stalls(now) {
+			return false
+		}
 	}
 	p.growRelay(primary, now)
 	return false
