--- a/internal/peer/instance/asker.go
+++ b/internal/peer/instance/asker.go
@@ -208,48 +208,6 @@
 	return nil
 }
 
-// tellStore passes on what the keeper tells of the store. The list of endpoints
-// is asked for whole after a time in which the keeper told nothing.
-func (a *Asker) tellStore(reply *link.PermitReply, now time.Time) {
-	if !reply.GetTells() {
-		a.list = 0
-		return
-	}
-	if version := reply.GetEndpointsVersion(); version != a.list {
-		a.list = version
-		endpoints := decodeEndpoints(reply.GetEndpoints())
-		a.tell.Put(proxy.Registered{
-			Endpoints: endpoints,
-		})
-		a.keeping.Ring().Put(keeping.Registered{
-			Endpoints: endpoints,
-		})
-	}
-	a.told.Store(keeper.Told{
-		At:      now,
-		Follows: reply.GetFollows(),
-		Catalog: reply.GetCatalogVersion(),
-	})
-}
-
-// tellPeers passes a new list of peers on to the proxy.
-func (a *Asker) tellPeers(reply *link.PermitReply) {
-	if reply.GetPeersVersion() == 0 {
-		return
-	}
-	a.peers = reply.GetPeersVersion()
-	var peers []rosemarylb.Peer
-	for _, p := range reply.GetPeers() {
-		peers = append(peers, rosemarylb.Peer{
-			Address: p.GetAddress(),
-			Region:  rosemarylb.RegionName(p.GetRegion()),
-		})
-	}
-	a.tell.Put(proxy.Peered{
-		Peers: peers,
-	})
-}
-
 func (a *Asker) question(now time.Time) *link.PermitRequest {
 	q := &link.PermitRequest{
 		From:         string(a.self),
--- a/internal/shell/command/demo.go
+++ b/internal/shell/command/demo.go
@@ -31,11 +31,7 @@
 		return err
 	}
 	defer stop()
-	text, err := run.MainJob()
-	if err != nil {
-		return err
-	}
-	return c.show(text, run.Hints(), c.Once)
+	return c.play(run, c.Once)
 }
 
 type lineDemoCommand struct {
@@ -51,23 +47,28 @@
 		return err
 	}
 	defer stop()
-	text, err := run.MainJob()
+	return c.play(run, c.Once)
+}
+
+// played is a demo that runs.
+type played interface {
+	MainJob() (string, error)
+	Hints() string
+}
+
+// play runs a demo's main job, and waits for a signal unless that was all.
+func (s *shell) play(d played, once bool) error {
+	text, err := d.MainJob()
 	if err != nil {
 		return err
 	}
-	return c.show(text, run.Hints(), c.Once)
-}
-
-// show prints what the main job did, and waits for a signal unless that was
-// all.
-func (s *shell) show(text, hints string, all bool) error {
 	if _, err := fmt.Fprint(s.out, text); err != nil {
 		return errors.Wrap(err, "print")
 	}
-	if all {
+	if once {
 		return nil
 	}
-	if _, err := fmt.Fprint(s.out, hints); err != nil {
+	if _, err := fmt.Fprint(s.out, d.Hints()); err != nil {
 		return errors.Wrap(err, "print")
 	}
 	signals := make(chan os.Signal, 1)
