Wait for half of the time where a group has had no primary for long

The callers' few tries were used up while the other instances were full.

Change: such a query waits for half of its time, as all others do, and not for all of it as while a primary is being replaced; the caller can come back elsewhere.

--- a/internal/traffic/proxy/settle.go
+++ b/internal/traffic/proxy/settle.go
@@ -229,7 +229,7 @@
 		g.lines[n], late = g.lines[n].WithoutExpired(now)
 		p.refuseAll(g, late, now)
 	}
-	p.refuseHopeless(g, now)
+	p.noteLeader(g, now)
 	p.recheck(g, now)
 	for _, l := range g.pools {
 		for _, k := range l.links {
--- a/internal/traffic/proxy/wait.go
+++ b/internal/traffic/proxy/wait.go
@@ -28,8 +28,9 @@
 // instance serves it sooner, and the query waits for all of its time.
 const patience = 2
 
-// replaceSpan is how long a group may be without a primary before what needs one
-// is refused at once: silence, permits and promotion take less together.
+// replaceSpan is how long a group may be without a primary before queries no
+// longer wait for all of their time: silence, permits and promotion take less
+// together.
 const replaceSpan = 2500 * time.Millisecond
 
 // parkPause is the wait of a query that no endpoint can serve right now.
@@ -84,17 +85,8 @@
 // enqueue has a query wait for a connection. What cannot be served in time is
 // refused at once.
 func (p *Proxy) enqueue(g *group, j *job, now time.Time) {
-	if p.hopeless(g, j, now) {
-		g.jobs[j.number] = j
-		p.refuse(g, rosemarylb.Request{
-			ID: rosemarylb.RequestID{
-				Sequence: j.number,
-			},
-		}, rosemarylb.ReasonNoPrimary, now)
-		return
-	}
 	until := j.deadline
-	if p.primary(g, now) != nil {
+	if !p.replacing(g, now) {
 		until = j.arrivedAt.Add(j.deadline.Sub(j.arrivedAt) / patience)
 	}
 	r := rosemarylb.Request{
@@ -114,48 +106,20 @@
 	}
 }
 
-// hopeless reports whether a query needs a primary and the group has had none
-// for longer than a replacement takes: nobody knows when it will have one.
-func (p *Proxy) hopeless(g *group, j *job, now time.Time) bool {
-	if g.leaderless.IsZero() || now.Sub(g.leaderless) < replaceSpan || p.primary(g, now) != nil {
-		return false
-	}
-	if j.primary {
-		return true
-	}
-	_, covered := g.samples.Required(j.asOf, j.session.dialogue.Floor())
-	return !covered
+// replacing reports whether a group's primary is being replaced: there has been
+// none for a while, but not for longer than a replacement takes.
+func (p *Proxy) replacing(g *group, now time.Time) bool {
+	return p.primary(g, now) == nil && (g.leaderless.IsZero() || now.Sub(g.leaderless) < replaceSpan)
 }
 
-// refuseHopeless refuses what waits for a primary that does not come.
-func (p *Proxy) refuseHopeless(g *group, now time.Time) {
-	if p.primary(g, now) != nil {
+// noteLeader notes since when a group has no primary.
+func (p *Proxy) noteLeader(g *group, now time.Time) {
+	switch {
+	case p.primary(g, now) != nil:
 		g.leaderless = time.Time{}
-		return
-	}
-	if g.leaderless.IsZero() {
+	case g.leaderless.IsZero():
 		g.leaderless = now
 	}
-	if now.Sub(g.leaderless) < replaceSpan {
-		return
-	}
-	for _, j := range g.jobs {
-		if !p.hopeless(g, j, now) {
-			continue
-		}
-		id := rosemarylb.RequestID{
-			Sequence: j.number,
-		}
-		rest, found := g.lines[j.line()].WithoutRequest(id)
-		if !found {
-			// It is parked, and is looked at again when its pause is over.
-			continue
-		}
-		g.lines[j.line()] = rest
-		p.refuse(g, rosemarylb.Request{
-			ID: id,
-		}, rosemarylb.ReasonNoPrimary, now)
-	}
 }
 
 // refuse answers a waiting query as not run.
