--- a/internal/experiment/soak/audit.go
+++ b/internal/experiment/soak/audit.go
@@ -10,8 +10,8 @@
 	"rosemarylb/internal/standin/objects"
 )
 
-// books are what endpoints and callers saw of one group, by identity.
-type books struct {
+// groupRecord are what endpoints and callers saw of one group, by identity.
+type groupRecord struct {
 	name    string
 	ran     []line.Run
 	history []line.Commit
@@ -34,9 +34,9 @@
 // nothing that the other side doesn't know yet.
 func (l *Ledger) audit(groups map[string]*line.Group) {
 	attempts := l.copyAttempts()
-	all := map[string]*books{}
+	all := map[string]*groupRecord{}
 	for name, g := range groups {
-		all[name] = &books{
+		all[name] = &groupRecord{
 			name:    name,
 			ran:     g.Runs(),
 			history: g.History(),
@@ -63,7 +63,7 @@
 }
 
 // auditRuns looks for statements that ran and that nobody asked for, or not so.
-func (l *Ledger) auditRuns(b *books, sent map[string]query) {
+func (l *Ledger) auditRuns(b *groupRecord, sent map[string]query) {
 	owners := map[int]*attempt{}
 	for _, r := range b.ran {
 		b.runs[r.ID] = append(b.runs[r.ID], r)
@@ -87,7 +87,7 @@
 }
 
 // auditHistory looks for writes that were committed twice, or not as asked.
-func (l *Ledger) auditHistory(b *books, sent map[string]query) {
+func (l *Ledger) auditHistory(b *groupRecord, sent map[string]query) {
 	for _, c := range b.history {
 		for _, id := range c.IDs {
 			b.commits[id] = append(b.commits[id], c)
@@ -113,7 +113,7 @@
 }
 
 // auditCommit looks at a commit that a caller was told of.
-func (l *Ledger) auditCommit(a *attempt, b *books) {
+func (l *Ledger) auditCommit(a *attempt, b *groupRecord) {
 	commits := b.commits[a.commit]
 	writes := slices.ContainsFunc(a.queries, func(q *query) bool { return q.writes() })
 	if len(commits) == 0 {
@@ -140,7 +140,7 @@
 }
 
 // auditAttempt looks at the answers of one operation.
-func (l *Ledger) auditAttempt(a *attempt, b *books) {
+func (l *Ledger) auditAttempt(a *attempt, b *groupRecord) {
 	transactions := map[int]bool{}
 	for _, q := range a.queries {
 		if a.promised && len(b.commits[q.id]) > 0 {
@@ -174,7 +174,7 @@
 }
 
 // auditRead looks for commits that a read had to see.
-func (l *Ledger) auditRead(a *attempt, q *query, r line.Run, b *books) {
+func (l *Ledger) auditRead(a *attempt, q *query, r line.Run, b *groupRecord) {
 	for _, c := range b.acknowledged {
 		if !c.at.Before(a.startedAt) {
 			return
--- a/internal/experiment/soak/client.go
+++ b/internal/experiment/soak/client.go
@@ -59,16 +59,16 @@
 	values map[string]string
 	shapes map[string]string
 	state  string
-	dice   *rand.Rand
+	random *rand.Rand
 	next   int
 }
 
 // connect opens a session to a database at an instance.
-func (w *World) connect(target *instance, group string, kind int, dice *rand.Rand) (*session, error) {
-	return w.open(target, group+"-"+routeKinds[kind].name, group, kind, dice)
+func (w *World) connect(target *instance, group string, kind int, random *rand.Rand) (*session, error) {
+	return w.open(target, group+"-"+routeKinds[kind].name, group, kind, random)
 }
 
-func (w *World) open(target *instance, database, group string, kind int, dice *rand.Rand) (*session, error) {
+func (w *World) open(target *instance, database, group string, kind int, random *rand.Rand) (*session, error) {
 	conn, err := net.DialTimeout("tcp", target.front, time.Second)
 	if err != nil {
 		return nil, err
@@ -84,7 +84,7 @@
 		values: map[string]string{},
 		shapes: map[string]string{},
 		state:  "I",
-		dice:   dice,
+		random: random,
 	}
 	_ = conn.SetDeadline(time.Now().Add(welcomeTimeout))
 	_, err = fmt.Fprintf(conn, "CONNECT %s u%d\r\n", database, s.number)
@@ -196,7 +196,7 @@
 }
 
 func (s *session) item() string {
-	return "k" + strconv.Itoa(s.dice.IntN(itemCount))
+	return "k" + strconv.Itoa(s.random.IntN(itemCount))
 }
 
 // single runs one statement as an operation of its own; it reports whether it
@@ -225,7 +225,7 @@
 // callers leave.
 func (s *session) transaction() bool {
 	a := s.newAttempt()
-	readOnly := s.dice.IntN(3) == 0
+	readOnly := s.random.IntN(3) == 0
 	begin := "BEGIN"
 	if readOnly {
 		begin = "BEGIN READ"
@@ -233,9 +233,9 @@
 	if r, err := s.ask(a, begin, "", true); err != nil || r.code != "" {
 		return err == nil && s.state == "I"
 	}
-	for range 1 + s.dice.IntN(6) {
+	for range 1 + s.random.IntN(6) {
 		text := "READ " + s.item()
-		if !readOnly && s.dice.IntN(3) == 0 {
+		if !readOnly && s.random.IntN(3) == 0 {
 			text = "WRITE " + s.item() + " t" + strconv.Itoa(s.number) + "-" + strconv.Itoa(s.next)
 		}
 		r, err := s.ask(a, text, "", false)
@@ -245,12 +245,12 @@
 		if r.code != "" || s.state != "T" {
 			return s.rollBack(a)
 		}
-		time.Sleep(time.Duration(s.dice.IntN(12)) * time.Millisecond)
-		if s.dice.IntN(60) == 0 {
+		time.Sleep(time.Duration(s.random.IntN(12)) * time.Millisecond)
+		if s.random.IntN(60) == 0 {
 			return false
 		}
 	}
-	if s.dice.IntN(8) == 0 {
+	if s.random.IntN(8) == 0 {
 		return s.rollBack(a)
 	}
 	r, err := s.ask(a, "COMMIT", "", false)
@@ -274,9 +274,9 @@
 // setUp gives a value or prepares a statement.
 func (s *session) setUp() bool {
 	a := s.newAttempt()
-	name := "s" + strconv.Itoa(s.dice.IntN(3))
-	if s.dice.IntN(2) == 0 {
-		value := "x" + strconv.Itoa(s.dice.IntN(3))
+	name := "s" + strconv.Itoa(s.random.IntN(3))
+	if s.random.IntN(2) == 0 {
+		value := "x" + strconv.Itoa(s.random.IntN(3))
 		r, err := s.ask(a, "SET "+name+" "+value, "", true)
 		if err != nil || r.code != "" {
 			return false
@@ -284,9 +284,9 @@
 		s.values[name] = value
 		return true
 	}
-	shape, access := "r"+strconv.Itoa(s.dice.IntN(4)), "READ"
-	if s.dice.IntN(3) == 0 {
-		shape, access = "w"+strconv.Itoa(s.dice.IntN(4)), "WRITE"
+	shape, access := "r"+strconv.Itoa(s.random.IntN(4)), "READ"
+	if s.random.IntN(3) == 0 {
+		shape, access = "w"+strconv.Itoa(s.random.IntN(4)), "WRITE"
 	}
 	r, err := s.ask(a, "PREPARE "+name+" "+access+" "+shape, "", true)
 	if err != nil || r.code != "" {
@@ -311,7 +311,7 @@
 // operate runs one operation; it reports whether the session goes on.
 func (s *session) operate() bool {
 	var open bool
-	switch s.dice.IntN(10) {
+	switch s.random.IntN(10) {
 	case 0:
 		open = s.setUp()
 	case 1, 2:
@@ -323,22 +323,22 @@
 	default:
 		_, open = s.read()
 	}
-	time.Sleep(time.Duration(5+s.dice.IntN(30)) * time.Millisecond)
+	time.Sleep(time.Duration(5+s.random.IntN(30)) * time.Millisecond)
 	return open
 }
 
 // call plays one caller until the end of the run: sessions on random instances,
 // each kept for a while or until it is closed.
-func (w *World) call(dice *rand.Rand) {
+func (w *World) call(random *rand.Rand) {
 	for !w.ending.Load() {
-		target := w.instances[dice.IntN(len(w.instances))]
-		group := w.names[dice.IntN(len(w.names))]
-		s, err := w.connect(target, group, dice.IntN(len(routeKinds)), dice)
+		target := w.instances[random.IntN(len(w.instances))]
+		group := w.names[random.IntN(len(w.names))]
+		s, err := w.connect(target, group, random.IntN(len(routeKinds)), random)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		for n := 1 + dice.IntN(120); n > 0 && !w.ending.Load() && s.operate(); n-- {
+		for n := 1 + random.IntN(120); n > 0 && !w.ending.Load() && s.operate(); n-- {
 			continue
 		}
 		s.close()
--- a/internal/experiment/soak/link.go
+++ b/internal/experiment/soak/link.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Harm is what is wrong with a link.
-type Harm struct {
+// LinkFaults is what is wrong with a link.
+type LinkFaults struct {
 	// Delay has bytes arrive that much later, both ways.
 	Delay time.Duration
 	// HoldThere and HoldBack hold bytes on their way to the target and back:
@@ -27,7 +27,7 @@
 
 	mu     sync.Mutex
 	target string
-	harm   Harm
+	faults LinkFaults
 	well   chan struct{}
 	conns  map[*net.TCPConn]struct{}
 }
@@ -47,7 +47,7 @@
 	go k.accept()
 	return k, func() {
 		_ = l.Close()
-		k.SetHarm(Harm{})
+		k.SetFaults(LinkFaults{})
 		k.Reset()
 	}, nil
 }
@@ -57,11 +57,11 @@
 	return l.listener.Addr().String()
 }
 
-// SetHarm changes what is wrong.
-func (l *Link) SetHarm(h Harm) {
+// SetFaults changes what is wrong.
+func (l *Link) SetFaults(h LinkFaults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.harm = h
+	l.faults = h
 	close(l.well)
 	l.well = make(chan struct{})
 }
@@ -89,7 +89,7 @@
 
 func (l *Link) serve(near *net.TCPConn) {
 	l.mu.Lock()
-	refuse, target := l.harm.Refuse, l.target
+	refuse, target := l.faults.Refuse, l.target
 	l.mu.Unlock()
 	if refuse {
 		_ = near.SetLinger(0)
@@ -109,10 +109,10 @@
 	l.mu.Unlock()
 	back := make(chan struct{})
 	go func() {
-		l.pump(far, near, func(h Harm) bool { return h.HoldBack })
+		l.pump(far, near, func(h LinkFaults) bool { return h.HoldBack })
 		close(back)
 	}()
-	l.pump(near, far, func(h Harm) bool { return h.HoldThere })
+	l.pump(near, far, func(h LinkFaults) bool { return h.HoldThere })
 	<-back
 	l.mu.Lock()
 	delete(l.conns, near)
@@ -128,7 +128,7 @@
 }
 
 // pump carries bytes one way until it ends, then ends the other side alike.
-func (l *Link) pump(from, to *net.TCPConn, held func(Harm) bool) {
+func (l *Link) pump(from, to *net.TCPConn, held func(LinkFaults) bool) {
 	packets := make(chan packet, 256)
 	reset := make(chan struct{})
 	go read(from, packets, reset)
@@ -141,7 +141,7 @@
 			return
 		}
 		l.mu.Lock()
-		delay := l.harm.Delay
+		delay := l.faults.Delay
 		l.mu.Unlock()
 		time.Sleep(time.Until(p.at.Add(delay)))
 		if _, err := to.Write(p.bytes); err != nil {
@@ -182,10 +182,10 @@
 }
 
 // await waits while bytes are held, false once the sender has reset.
-func (l *Link) await(held func(Harm) bool, reset <-chan struct{}) bool {
+func (l *Link) await(held func(LinkFaults) bool, reset <-chan struct{}) bool {
 	for {
 		l.mu.Lock()
-		wait, well := held(l.harm), l.well
+		wait, well := held(l.faults), l.well
 		l.mu.Unlock()
 		if !wait {
 			return true
--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -27,7 +27,7 @@
 	name string
 	// planned is true for work that promises hold under.
 	planned bool
-	act     func(w *World, dice *rand.Rand, span time.Duration) func()
+	act     func(w *World, random *rand.Rand, span time.Duration) func()
 }
 
 var kinds = []kind{
@@ -38,25 +38,25 @@
 	{"kill", false, signals(syscall.SIGKILL)},
 	{"pause", false, pauses},
 	{"herd", false, herds},
-	{"store-status", false, harmsStore(func(dice *rand.Rand) objects.Faults {
+	{"store-status", false, failsStore(func(random *rand.Rand) objects.Faults {
 		return objects.Faults{
-			Status: []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[dice.IntN(2)],
+			Status: []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[random.IntN(2)],
 		}
 	})},
-	{"store-slow", false, harmsStore(func(dice *rand.Rand) objects.Faults {
+	{"store-slow", false, failsStore(func(random *rand.Rand) objects.Faults {
 		return objects.Faults{
-			Delay: time.Duration(100+dice.IntN(500)) * time.Millisecond,
+			Delay: time.Duration(100+random.IntN(500)) * time.Millisecond,
 		}
 	})},
-	{"store-loses", false, harmsStore(func(dice *rand.Rand) objects.Faults {
+	{"store-loses", false, failsStore(func(random *rand.Rand) objects.Faults {
 		return objects.Faults{
 			LoseSome: 0.4,
-			Late:     time.Duration(dice.IntN(2)) * time.Duration(1000+dice.IntN(4000)) * time.Millisecond,
+			Late:     time.Duration(random.IntN(2)) * time.Duration(1000+random.IntN(4000)) * time.Millisecond,
 		}
 	})},
-	{"store-link", false, harmsStoreLinks},
+	{"store-link", false, failsStoreLinks},
 	{"store-forgets", false, forgets},
-	{"link", false, harmsLinks},
+	{"link", false, failsLinks},
 	{"resets", false, resets},
 	{"crash", false, crashes},
 	{"dark", false, darkens},
@@ -68,49 +68,49 @@
 // Plan draws a plan: steps in series that overlap. Every fourth seed has planned
 // work alone, under which all promises hold.
 func Plan(seed uint64, length time.Duration) []Step {
-	dice := rand.New(rand.NewPCG(seed, 1))
+	random := rand.New(rand.NewPCG(seed, 1))
 	planned := seed%4 == 0
 	var steps []Step
-	for at := 1500 * time.Millisecond; at < length; at += time.Duration(300+dice.IntN(1700)) * time.Millisecond {
-		k := kinds[dice.IntN(len(kinds))]
+	for at := 1500 * time.Millisecond; at < length; at += time.Duration(300+random.IntN(1700)) * time.Millisecond {
+		k := kinds[random.IntN(len(kinds))]
 		for planned && !k.planned {
-			k = kinds[dice.IntN(len(kinds))]
+			k = kinds[random.IntN(len(kinds))]
 		}
 		steps = append(steps, Step{
 			At:   at,
-			For:  time.Duration(200+dice.IntN(4500)) * time.Millisecond,
+			For:  time.Duration(200+random.IntN(4500)) * time.Millisecond,
 			Name: k.name,
 			kind: k,
-			draw: dice.Uint64(),
+			draw: random.Uint64(),
 		})
 	}
 	return steps
 }
 
-func (w *World) any(dice *rand.Rand) *instance {
-	return w.instances[dice.IntN(len(w.instances))]
+func (w *World) any(random *rand.Rand) *instance {
+	return w.instances[random.IntN(len(w.instances))]
 }
 
 // some draws a part of the instances, at least one.
-func (w *World) some(dice *rand.Rand) []*instance {
+func (w *World) some(random *rand.Rand) []*instance {
 	var drawn []*instance
 	for _, i := range w.instances {
-		if dice.IntN(2) == 0 {
+		if random.IntN(2) == 0 {
 			drawn = append(drawn, i)
 		}
 	}
 	if len(drawn) == 0 {
-		drawn = append(drawn, w.any(dice))
+		drawn = append(drawn, w.any(random))
 	}
 	return drawn
 }
 
-func (w *World) anyEndpoint(dice *rand.Rand) *endpoint {
+func (w *World) anyEndpoint(random *rand.Rand) *endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e := w.endpoints[dice.IntN(len(w.endpoints))]
+	e := w.endpoints[random.IntN(len(w.endpoints))]
 	// Two times of three it is the primary of its group.
-	if dice.IntN(3) == 0 {
+	if random.IntN(3) == 0 {
 		return e
 	}
 	for _, o := range w.endpoints {
@@ -122,8 +122,8 @@
 }
 
 func signals(s syscall.Signal) func(*World, *rand.Rand, time.Duration) func() {
-	return func(w *World, dice *rand.Rand, _ time.Duration) func() {
-		p := w.any(dice).process
+	return func(w *World, random *rand.Rand, _ time.Duration) func() {
+		p := w.any(random).process
 		p.Signal(s)
 		return func() {}
 	}
@@ -136,8 +136,8 @@
 
 // releases replaces an endpoint: it says that it leaves, serves on for the span
 // in which it may still be sent requests, ends, and starts anew.
-func releases(w *World, dice *rand.Rand, _ time.Duration) func() {
-	e := w.anyEndpoint(dice)
+func releases(w *World, random *rand.Rand, _ time.Duration) func() {
+	e := w.anyEndpoint(random)
 	if !w.reserve(e) {
 		return func() {}
 	}
@@ -203,8 +203,8 @@
 	w.beat(e)
 }
 
-func pauses(w *World, dice *rand.Rand, _ time.Duration) func() {
-	drawn := w.some(dice)[:1]
+func pauses(w *World, random *rand.Rand, _ time.Duration) func() {
+	drawn := w.some(random)[:1]
 	for _, i := range drawn {
 		i.process.Signal(syscall.SIGSTOP)
 	}
@@ -215,9 +215,9 @@
 	}
 }
 
-func herds(w *World, dice *rand.Rand, _ time.Duration) func() {
-	drawn := w.some(dice)
-	if dice.IntN(3) == 0 {
+func herds(w *World, random *rand.Rand, _ time.Duration) func() {
+	drawn := w.some(random)
+	if random.IntN(3) == 0 {
 		drawn = w.instances
 	}
 	for _, i := range drawn {
@@ -226,13 +226,13 @@
 	return func() {}
 }
 
-func harmsStore(draw func(*rand.Rand) objects.Faults) func(*World, *rand.Rand, time.Duration) func() {
-	return func(w *World, dice *rand.Rand, _ time.Duration) func() {
-		drawn := w.some(dice)
-		if dice.IntN(2) == 0 {
+func failsStore(draw func(*rand.Rand) objects.Faults) func(*World, *rand.Rand, time.Duration) func() {
+	return func(w *World, random *rand.Rand, _ time.Duration) func() {
+		drawn := w.some(random)
+		if random.IntN(2) == 0 {
 			drawn = w.instances
 		}
-		faults := draw(dice)
+		faults := draw(random)
 		for _, i := range drawn {
 			i.view.SetFaults(faults)
 		}
@@ -244,57 +244,57 @@
 	}
 }
 
-// drawHarm draws what is wrong with a link.
-func drawHarm(dice *rand.Rand) Harm {
-	return []Harm{
-		{Delay: time.Duration(20+dice.IntN(300)) * time.Millisecond},
+// drawLinkFaults draws what is wrong with a link.
+func drawLinkFaults(random *rand.Rand) LinkFaults {
+	return []LinkFaults{
+		{Delay: time.Duration(20+random.IntN(300)) * time.Millisecond},
 		{HoldThere: true},
 		{HoldBack: true},
 		{HoldThere: true, HoldBack: true},
 		{Refuse: true},
-	}[dice.IntN(5)]
+	}[random.IntN(5)]
 }
 
-func harm(links []*Link, h Harm) func() {
+func inject(links []*Link, h LinkFaults) func() {
 	for _, l := range links {
-		l.SetHarm(h)
+		l.SetFaults(h)
 		if h.Refuse {
 			l.Reset()
 		}
 	}
 	return func() {
 		for _, l := range links {
-			l.SetHarm(Harm{})
+			l.SetFaults(LinkFaults{})
 		}
 	}
 }
 
-func harmsStoreLinks(w *World, dice *rand.Rand, _ time.Duration) func() {
+func failsStoreLinks(w *World, random *rand.Rand, _ time.Duration) func() {
 	var links []*Link
-	for _, i := range w.some(dice) {
+	for _, i := range w.some(random) {
 		links = append(links, i.store)
 	}
-	return harm(links, drawHarm(dice))
+	return inject(links, drawLinkFaults(random))
 }
 
-// harmsLinks harms the ways from some instances to one endpoint.
-func harmsLinks(w *World, dice *rand.Rand, _ time.Duration) func() {
-	e := w.anyEndpoint(dice)
+// failsLinks disturbs the ways from some instances to one endpoint.
+func failsLinks(w *World, random *rand.Rand, _ time.Duration) func() {
+	e := w.anyEndpoint(random)
 	var links []*Link
-	for _, i := range w.some(dice) {
+	for _, i := range w.some(random) {
 		links = append(links, i.links[e.server.ID()])
 	}
-	return harm(links, drawHarm(dice))
+	return inject(links, drawLinkFaults(random))
 }
 
 // darkens silences an endpoint for all instances, and its replicas.
-func darkens(w *World, dice *rand.Rand, _ time.Duration) func() {
-	e := w.anyEndpoint(dice)
+func darkens(w *World, random *rand.Rand, _ time.Duration) func() {
+	e := w.anyEndpoint(random)
 	var links []*Link
 	for _, i := range w.instances {
 		links = append(links, i.links[e.server.ID()])
 	}
-	end := harm(links, Harm{
+	end := inject(links, LinkFaults{
 		HoldThere: true,
 		HoldBack:  true,
 	})
@@ -323,8 +323,8 @@
 	}
 }
 
-func deafens(w *World, dice *rand.Rand, _ time.Duration) func() {
-	return w.deafen(w.anyEndpoint(dice))
+func deafens(w *World, random *rand.Rand, _ time.Duration) func() {
+	return w.deafen(w.anyEndpoint(random))
 }
 
 func forgets(w *World, _ *rand.Rand, _ time.Duration) func() {
@@ -332,10 +332,10 @@
 	return func() {}
 }
 
-func resets(w *World, dice *rand.Rand, _ time.Duration) func() {
-	for _, i := range w.some(dice) {
+func resets(w *World, random *rand.Rand, _ time.Duration) func() {
+	for _, i := range w.some(random) {
 		for _, l := range i.links {
-			if dice.IntN(2) == 0 {
+			if random.IntN(2) == 0 {
 				l.Reset()
 			}
 		}
@@ -343,8 +343,8 @@
 	return func() {}
 }
 
-func crashes(w *World, dice *rand.Rand, _ time.Duration) func() {
-	e := w.anyEndpoint(dice)
+func crashes(w *World, random *rand.Rand, _ time.Duration) func() {
+	e := w.anyEndpoint(random)
 	if !w.reserve(e) {
 		return func() {}
 	}
@@ -355,8 +355,8 @@
 	}
 }
 
-func losesAnswers(w *World, dice *rand.Rand, _ time.Duration) func() {
-	e := w.anyEndpoint(dice)
+func losesAnswers(w *World, random *rand.Rand, _ time.Duration) func() {
+	e := w.anyEndpoint(random)
 	e.server.SetFaults(line.ServerFaults{
 		LoseAnswer: 0.1,
 		Fail:       0.05,
@@ -367,17 +367,17 @@
 }
 
 // flaps has an endpoint end and start by turns.
-func flaps(w *World, dice *rand.Rand, span time.Duration) func() {
-	e := w.anyEndpoint(dice)
+func flaps(w *World, random *rand.Rand, span time.Duration) func() {
+	e := w.anyEndpoint(random)
 	if !w.reserve(e) {
 		return func() {}
 	}
 	defer w.free(e)
 	for end := time.Now().Add(span); time.Now().Before(end); {
 		w.stop(e)
-		time.Sleep(time.Duration(200+dice.IntN(600)) * time.Millisecond)
+		time.Sleep(time.Duration(200+random.IntN(600)) * time.Millisecond)
 		w.restart(e)
-		time.Sleep(time.Duration(200+dice.IntN(600)) * time.Millisecond)
+		time.Sleep(time.Duration(200+random.IntN(600)) * time.Millisecond)
 	}
 	return func() {}
 }
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -21,7 +21,7 @@
 	Folder string
 	// Seed draws the plan and what callers do.
 	Seed uint64
-	// Length is for how long things are harmed.
+	// Length is for how long things are disturbed.
 	Length time.Duration
 	// Instances, Groups and Callers are how many there are.
 	Instances, Groups, Callers int
@@ -159,10 +159,10 @@
 		time.Sleep(time.Until(begun.Add(s.At)))
 		under.Go(func() {
 			if !s.kind.planned {
-				defer w.harm()()
+				defer w.disturb()()
 			}
-			dice := rand.New(rand.NewPCG(s.draw, 0))
-			end := s.kind.act(w, dice, s.For)
+			random := rand.New(rand.NewPCG(s.draw, 0))
+			end := s.kind.act(w, random, s.For)
 			time.Sleep(time.Until(begun.Add(s.At + s.For)))
 			end()
 		})
@@ -174,15 +174,15 @@
 // under the last configuration.
 func (w *World) recover() {
 	end := time.Now().Add(recoverSpan)
-	dice := rand.New(rand.NewPCG(w.seed, 1<<32))
+	random := rand.New(rand.NewPCG(w.seed, 1<<32))
 	var left []func() string
 	for _, i := range w.instances {
 		for _, g := range w.names {
 			for kind := range routeKinds {
-				left = append(left, func() string { return w.serves(i, g, kind, dice) })
+				left = append(left, func() string { return w.serves(i, g, kind, random) })
 			}
 		}
-		left = append(left, func() string { return w.configured(i, dice) })
+		left = append(left, func() string { return w.configured(i, random) })
 	}
 	for len(left) > 0 && time.Now().Before(end) {
 		var rest []func() string
@@ -196,15 +196,15 @@
 	}
 	for _, check := range left {
 		if what := check(); what != "" {
-			w.ledger.violatef("RECOVER: %s, %s after the last harm", what, recoverSpan)
+			w.ledger.violatef("RECOVER: %s, %s after the last fault", what, recoverSpan)
 		}
 	}
 }
 
 // serves reports what an instance doesn't serve, empty for nothing.
-func (w *World) serves(i *instance, group string, kind int, dice *rand.Rand) string {
+func (w *World) serves(i *instance, group string, kind int, random *rand.Rand) string {
 	what := fmt.Sprintf("%s doesn't serve %s by %s", i.name, group, routeKinds[kind].name)
-	s, err := w.connect(i, group, kind, dice)
+	s, err := w.connect(i, group, kind, random)
 	if err != nil {
 		return what + ": " + err.Error()
 	}
@@ -220,16 +220,16 @@
 
 // configured reports whether an instance has another configuration than the
 // last one, empty if it has that.
-func (w *World) configured(i *instance, dice *rand.Rand) string {
+func (w *World) configured(i *instance, random *rand.Rand) string {
 	w.mu.Lock()
 	version := w.version
 	w.mu.Unlock()
-	s, err := w.open(i, versionRoute(version), w.names[0], 0, dice)
+	s, err := w.open(i, versionRoute(version), w.names[0], 0, random)
 	if err != nil {
 		return i.name + " lacks " + versionRoute(version) + ": " + err.Error()
 	}
 	s.close()
-	s, err = w.open(i, versionRoute(version-6), w.names[0], 0, dice)
+	s, err = w.open(i, versionRoute(version-6), w.names[0], 0, random)
 	if err == nil {
 		s.close()
 		return i.name + " still has " + versionRoute(version-6)
@@ -255,9 +255,9 @@
 }
 
 // auditDrains looks for requests that were sent to an endpoint long after it
-// said that it leaves, in runs in which nothing was harmed.
+// said that it leaves, in runs in which nothing was disturbed.
 func (w *World) auditDrains() {
-	if !w.harmedAt.IsZero() {
+	if !w.disturbedAt.IsZero() {
 		return
 	}
 	for _, e := range w.endpoints {
--- a/internal/experiment/soak/world.go
+++ b/internal/experiment/soak/world.go
@@ -1,5 +1,5 @@
 // Package soak runs instances as processes of their own on stand-ins of the
-// users' platform, harms them from outside by a seeded plan, and checks what
+// users' platform, disturbs them from outside by a seeded plan, and checks what
 // callers and endpoints see.
 package soak
 
@@ -24,13 +24,13 @@
 const (
 	// routeTimeout is the timeout of the routes.
 	routeTimeout = 1500 * time.Millisecond
-	// stableWindow is how long nothing may have been harmed for bounds to hold.
+	// stableWindow is how long nothing may have been disturbed for bounds to hold.
 	stableWindow = 5 * time.Second
 	// drainSpan is how long a leaving endpoint may still be sent requests.
 	drainSpan = 7 * time.Second
 	// graceSeconds is the time between the signal to stop and the kill.
 	graceSeconds = 6
-	// recoverSpan is how long after the last harm everything has to be served.
+	// recoverSpan is how long after the last fault everything has to be served.
 	recoverSpan = 12 * time.Second
 	// heartbeat is how often endpoints write their entries.
 	heartbeat = 1200 * time.Millisecond
@@ -83,11 +83,11 @@
 	ending    atomic.Bool
 	cleanups  []func()
 
-	mu        sync.Mutex
-	endpoints []*endpoint
-	version   int
-	harmed    int
-	harmedAt  time.Time
+	mu          sync.Mutex
+	endpoints   []*endpoint
+	version     int
+	disturbed   int
+	disturbedAt time.Time
 }
 
 // newWorld starts a world. The returned function ends it and all that it
@@ -311,25 +311,25 @@
 	w.ledger.violatef("EXIT: %s ended by itself: %v", name, state)
 }
 
-// harm notes the begin of something that bounds don't hold under; the returned
+// disturb notes the begin of a fault that bounds don't hold under; the returned
 // function notes its end.
-func (w *World) harm() func() {
+func (w *World) disturb() func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.harmed++
+	w.disturbed++
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.harmed--
-		w.harmedAt = time.Now()
+		w.disturbed--
+		w.disturbedAt = time.Now()
 	}
 }
 
-// calmSince reports whether nothing was harmed since a time.
+// calmSince reports whether nothing was disturbed since a time.
 func (w *World) calmSince(at time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.harmed == 0 && w.harmedAt.Before(at) && w.ledger.begun.Add(stableWindow).Before(at)
+	return w.disturbed == 0 && w.disturbedAt.Before(at) && w.ledger.begun.Add(stableWindow).Before(at)
 }
 
 // ready reports whether an instance says that it is.
