--- a/internal/experiment/soak/audit.go
+++ b/internal/experiment/soak/audit.go
@@ -10,7 +10,7 @@
 	"rosemarylb/internal/standin/objects"
 )
 
-// groupRecord are what endpoints and callers saw of one group, by identity.
+// groupRecord is what endpoints and callers saw of one group, by identity.
 type groupRecord struct {
 	name    string
 	ran     []line.Run
