--- a/internal/experiment/soak/link.go
+++ b/internal/experiment/soak/link.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"rosemarylb/internal/process/duty"
 )
 
 // LinkFaults is what is wrong with a link.
@@ -44,7 +46,7 @@
 		well:     make(chan struct{}),
 		conns:    map[*net.TCPConn]struct{}{},
 	}
-	go k.accept()
+	duty.Spawn(k.accept)
 	return k, func() {
 		_ = l.Close()
 		k.SetFaults(LinkFaults{})
@@ -83,7 +85,9 @@
 		if err != nil {
 			return
 		}
-		go l.serve(c.(*net.TCPConn))
+		duty.Spawn(func() {
+			l.serve(c.(*net.TCPConn))
+		})
 	}
 }
 
@@ -107,13 +111,11 @@
 	l.conns[near] = struct{}{}
 	l.conns[far] = struct{}{}
 	l.mu.Unlock()
-	back := make(chan struct{})
-	go func() {
+	waitBack := duty.Spawn(func() {
 		l.pump(far, near, func(h LinkFaults) bool { return h.HoldBack })
-		close(back)
-	}()
+	})
 	l.pump(near, far, func(h LinkFaults) bool { return h.HoldThere })
-	<-back
+	waitBack()
 	l.mu.Lock()
 	delete(l.conns, near)
 	delete(l.conns, far)
@@ -131,7 +133,9 @@
 func (l *Link) pump(from, to *net.TCPConn, held func(LinkFaults) bool) {
 	packets := make(chan packet, 256)
 	reset := make(chan struct{})
-	go read(from, packets, reset)
+	duty.Spawn(func() {
+		read(from, packets, reset)
+	})
 	for p := range packets {
 		if !l.await(held, reset) {
 			break
--- a/internal/experiment/soak/process.go
+++ b/internal/experiment/soak/process.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"rosemarylb/internal/process/duty"
 )
 
 // restartDelay is how long after its end a process is started again.
@@ -28,7 +30,7 @@
 	signaled bool
 	starts   int
 	closed   bool
-	done     chan struct{}
+	wait     func()
 }
 
 // startProcess starts an instance. Its output goes to a file; an end that
@@ -44,15 +46,13 @@
 		settings: settings,
 		output:   file,
 		ended:    ended,
-		done:     make(chan struct{}),
 	}
-	go p.run()
+	p.wait = duty.Spawn(p.run)
 	return p, nil
 }
 
 // run keeps the process running.
 func (p *Process) run() {
-	defer close(p.done)
 	// A process dies with the thread that started it, should this one be killed.
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
@@ -116,6 +116,6 @@
 	p.mu.Unlock()
 	p.Signal(syscall.SIGCONT)
 	p.Signal(syscall.SIGKILL)
-	<-p.done
+	p.wait()
 	_ = p.output.Close()
 }
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"rosemarylb/internal/process/duty"
 )
 
 // discard takes what the stand-in's server logs of calls that were cut off.
@@ -81,17 +83,15 @@
 	}
 	steps := Plan(o.Seed, o.Length)
 	auditing := make(chan struct{})
-	audited := make(chan struct{})
-	go func() {
-		defer close(audited)
+	waitAudits := duty.Spawn(func() {
 		w.auditing(auditing)
-	}()
+	})
 	w.play(steps)
 	w.recover()
 	w.ending.Store(true)
 	callers.Wait()
 	close(auditing)
-	<-audited
+	waitAudits()
 	w.ledger.audit(w.groups)
 	w.ledger.auditOrders(w.store.Orders())
 	w.auditDrains()
--- a/internal/experiment/soak/world.go
+++ b/internal/experiment/soak/world.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/standin/line"
 	"rosemarylb/internal/standin/objects"
 )
@@ -131,7 +132,7 @@
 	}
 	beats := time.NewTicker(heartbeat)
 	stop := make(chan struct{})
-	go func() {
+	duty.Spawn(func() {
 		for {
 			select {
 			case <-beats.C:
@@ -140,7 +141,7 @@
 				return
 			}
 		}
-	}()
+	})
 	w.cleanups = append(w.cleanups, func() {
 		beats.Stop()
 		close(stop)
