Reject relayed sessions that cannot be served, and try the next instance

Cause: after all machines lost power, endpoints count their connections for three seconds more. Change: a relay session is rejected unless the instance has a connection to the endpoint or may open one; its sender asks another instance at once, and the first one again after 0.3 s. The cap after a rejection lasts 0.8 s.

--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -24,7 +24,7 @@
 	connectionLimitBackoff = 400 * time.Millisecond
 	// softLimitDuration is how long the soft limit, learned from such a
 	// rejection, caps the number of connections to the endpoint.
-	softLimitDuration = 3 * time.Second
+	softLimitDuration = 2 * connectionLimitBackoff
 	// idleConnectionTimeout is how long a relay connection, or a direct
 	// connection other than the last one to an endpoint, may stay idle. An
 	// endpoint still counts the connections of a machine that lost power for
@@ -111,6 +111,7 @@
 		pool:      ep,
 		state:     connectionOpening,
 		relayed:   spec.Via != "",
+		via:       spec.Via,
 		expiresAt: now.Add(openTimeout),
 		prepared:  map[string]struct{}{},
 	}
@@ -202,7 +203,7 @@
 		"code", e.Code.String())
 	switch {
 	case c.relayed:
-		ep.nextRelayAt = now.Add(relayBackoff)
+		ep.handleRelayLost(c, e.Code, now)
 	case e.Code == rosemarylb.ReplyConnectionLimit:
 		ep.softLimit = max(ep.directCount(), 1)
 		ep.softLimitUntil = now.Add(softLimitDuration)
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -10,8 +10,11 @@
 	// maxRelays is the maximum number of relay connections to a primary through
 	// other instances in its region, sized for a burst of queries.
 	maxRelays = 6
-	// relayBackoff is the delay after a relay connection was lost or rejected.
+	// relayBackoff is the delay after a relay connection was lost.
 	relayBackoff = 500 * time.Millisecond
+	// relayRejectionBackoff is how long an instance that rejected a relay
+	// connection is not asked for another one to the same endpoint.
+	relayRejectionBackoff = 300 * time.Millisecond
 	// relaySessionBit marks the identifiers of relay sessions, which other
 	// instances opened.
 	relaySessionBit = rosemarylb.SessionID(1) << 62
@@ -130,7 +133,7 @@
 	}
 	var near []rosemarylb.RelayPeer
 	for _, peer := range p.peers {
-		if peer.Region == ep.spec.Region && peer.Address != p.address {
+		if peer.Region == ep.spec.Region && peer.Address != p.address && ep.mayRelayThrough(peer.Address, now) {
 			near = append(near, peer)
 		}
 	}
@@ -142,6 +145,49 @@
 	p.open(ep, ep.spec.WithRelay(peer.Address), now)
 }
 
+// mayRelayThrough reports whether a relay connection may be opened through the
+// instance at an address: it has not rejected one lately, and none is opening.
+func (ep *endpointPool) mayRelayThrough(address string, now time.Time) bool {
+	if now.Before(ep.relayRejectedUntil[address]) {
+		return false
+	}
+	for _, c := range ep.connections {
+		if c.state == connectionOpening && c.via == address {
+			return false
+		}
+	}
+	return true
+}
+
+// acceptsRelaySession reports whether this instance can pass queries on to an
+// endpoint: it has a connection to it, or may open one now. Otherwise the other
+// instance is better served by the next one that it asks.
+func (p *Proxy) acceptsRelaySession(id rosemarylb.EndpointID, now time.Time) bool {
+	ep, found := p.pools[id]
+	if !found {
+		return false
+	}
+	for _, c := range ep.connections {
+		if !c.relayed && c.state != connectionOpening && !c.closing {
+			return true
+		}
+	}
+	return ep.canOpen(p.connectionLimit(ep), now)
+}
+
+// handleRelayLost records that a relay connection was lost, or rejected by an
+// instance that cannot reach the endpoint itself.
+func (ep *endpointPool) handleRelayLost(c *connection, code rosemarylb.ReplyCode, now time.Time) {
+	if code != rosemarylb.ReplyBusy {
+		ep.nextRelayAt = now.Add(relayBackoff)
+		return
+	}
+	if ep.relayRejectedUntil == nil {
+		ep.relayRejectedUntil = map[string]time.Time{}
+	}
+	ep.relayRejectedUntil[c.via] = now.Add(relayRejectionBackoff)
+}
+
 // closeRelays closes the relay connections to a former primary: relays forward
 // queries to primaries only.
 func (p *Proxy) closeRelays(former rosemarylb.EndpointID, now time.Time) {
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -349,3 +349,81 @@
 		t.Errorf("got %s sent through %q, want the write through another instance", s.query.Kind, h.relays[s.id])
 	}
 }
+
+// An endpoint keeps the connections of machines that lost power for seconds.
+// An instance that got none of the others must not hold relayed queries, which
+// another instance could serve.
+func TestRelaySessionIsRejectedWithoutConnection(t *testing.T) {
+	h := newHarness(t)
+	h.proxy.relayPort = h
+	h.handle(QueryReceived{
+		Session: 1,
+		Query: rosemarylb.Query{
+			ID:     "q",
+			Kind:   rosemarylb.QueryWrite,
+			Writes: true,
+		},
+	})
+	h.rejectConnections(rosemarylb.ReplyConnectionLimit)
+	h.relayQuery(20, "e1", rosemarylb.QueryWrite)
+	h.wantAnswer(20, rosemarylb.ReplyBusy, none)
+	if !h.closed[20] {
+		t.Error("got the relay session accepted, want it rejected")
+	}
+}
+
+// rejectConnections rejects the connections that the proxy is opening.
+func (h *harness) rejectConnections(code rosemarylb.ReplyCode) {
+	opening := h.opening
+	h.opening = nil
+	for _, id := range opening {
+		h.handle(ConnectionLost{
+			Connection: id,
+			Code:       code,
+		})
+	}
+}
+
+// A query that one instance cannot pass on is passed on by another one while
+// its caller still waits.
+func TestRejectedRelayIsReplacedByAnother(t *testing.T) {
+	h := newHarness(t)
+	h.proxy.relayPort = h
+	h.proxy.address = "peer0"
+	h.setPeers(4, 4)
+	h.handle(QueryReceived{
+		Session: 1,
+		Query: rosemarylb.Query{
+			ID:     "q",
+			Kind:   rosemarylb.QueryWrite,
+			Writes: true,
+		},
+	})
+	h.rejectConnections(rosemarylb.ReplyConnectionLimit)
+	tried := map[string]bool{}
+	for end := h.now.Add(100 * time.Millisecond); h.now.Before(end) && len(h.sent) == 0; h.now = h.now.Add(5 * time.Millisecond) {
+		h.proxy.Tick(h.now)
+		opening := h.opening
+		h.opening = nil
+		for _, id := range opening {
+			via := h.relays[id]
+			if tried[via] {
+				t.Errorf("got a second attempt through %q, want another instance", via)
+			}
+			tried[via] = true
+			if len(tried) < 3 {
+				h.handle(ConnectionLost{
+					Connection: id,
+					Code:       rosemarylb.ReplyBusy,
+				})
+				continue
+			}
+			h.handle(ConnectionOpened{
+				Connection: id,
+			})
+		}
+	}
+	if got, want := h.nextSent().query.Kind, rosemarylb.QueryWrite; got != want {
+		t.Errorf("got %s sent through the third instance, want %s", got, want)
+	}
+}
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -28,6 +28,10 @@
 		p.rejectSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance shuts down"))
 		return
 	}
+	if e.Endpoint != "" && !p.acceptsRelaySession(e.Endpoint, now) {
+		p.rejectSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyBusy, "no connection to the endpoint"))
+		return
+	}
 	sessionsTotal.Inc()
 	p.sessions[e.Session] = &session{
 		state:         sessionstate.NewSession(e.Session, e.Database),
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -104,8 +104,10 @@
 	prepared    map[string]struct{}
 	term        rosemarylb.Term
 	closing     bool
-	// relayed reports whether the connection goes through another instance.
+	// relayed reports whether the connection goes through another instance, at
+	// the address via.
 	relayed bool
+	via     string
 }
 
 // endpointPool is an endpoint and the connections to it.
@@ -122,6 +124,9 @@
 	nextRelayAt    time.Time
 	softLimit      int
 	softLimitUntil time.Time
+	// relayRejectedUntil is, for the address of each instance that rejected a
+	// relay connection to the endpoint, the time until which it is not asked again.
+	relayRejectedUntil map[string]time.Time
 }
 
 func (ep *endpointPool) count(s connectionState) int {
