Let queries wait until their deadline while connections are exhausted

Cause: a queued query is rejected after half of its time so that its caller can try another instance. While the endpoints have no connection left, as in the seconds after all machines lost power, every instance is in the same state, and callers used up their two retries before connections were free again. Change: when every endpoint that may run a query has lately refused a connection for its limit, the query waits until its deadline, also if it was queued before the refusal.

--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -25,8 +25,9 @@
 
 // queueTimeDivisor is the divisor of the timeout of a query that gives its
 // maximum queue time. After this time the query is rejected as not run, so that
-// the caller can retry on another instance. During a failover no instance can
-// serve the query sooner, and it may wait until its deadline.
+// the caller can retry on another instance. During a failover, or while the
+// endpoints have no connection left, no instance can serve the query sooner, and
+// it may wait until its deadline.
 const queueTimeDivisor = 2
 
 // failoverWindow is how long a group may be without a primary before its
@@ -88,7 +89,7 @@
 // rejected at once.
 func (p *Proxy) enqueue(g *group, pq *pendingQuery, now time.Time) {
 	until := pq.deadline
-	if !p.failoverInProgress(g, now) {
+	if !p.waitsUntilDeadline(g, pq, now) {
 		until = pq.arrivedAt.Add(pq.deadline.Sub(pq.arrivedAt) / queueTimeDivisor)
 	}
 	r := rosemarylb.Request{
@@ -108,12 +109,35 @@
 	}
 }
 
+// waitsUntilDeadline reports whether a query may stay queued until its deadline,
+// because no other instance can serve it sooner.
+func (p *Proxy) waitsUntilDeadline(g *group, pq *pendingQuery, now time.Time) bool {
+	return p.failoverInProgress(g, now) || p.connectionsExhausted(g, pq.needsPrimary, now)
+}
+
 // failoverInProgress reports whether a group has had no usable primary for less
 // than failoverWindow.
 func (p *Proxy) failoverInProgress(g *group, now time.Time) bool {
 	return p.primary(g, now) == nil && (g.leaderlessSince.IsZero() || now.Sub(g.leaderlessSince) < failoverWindow)
 }
 
+// connectionsExhausted reports whether every endpoint that may run a query of a
+// group has lately rejected a connection of this instance because its limit was
+// reached.
+func (p *Proxy) connectionsExhausted(g *group, needsPrimary bool, now time.Time) bool {
+	exhausted := false
+	for _, ep := range g.pools {
+		if needsPrimary && ep.spec.ID != g.permit.Primary || !p.acceptsReads(ep, now) {
+			continue
+		}
+		if !now.Before(ep.softLimitUntil) {
+			return false
+		}
+		exhausted = true
+	}
+	return exhausted
+}
+
 // updateLeaderless updates the time since which a group has had no usable
 // primary.
 func (p *Proxy) updateLeaderless(g *group, now time.Time) {
@@ -135,8 +159,15 @@
 	p.complete(pq, rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: "+reason.String()), now)
 }
 
+// rejectExpired rejects queries whose maximum queue time has passed. Those that
+// may wait until their deadline by now are queued once more.
 func (p *Proxy) rejectExpired(g *group, expired []rosemarylb.Request, now time.Time) {
 	for _, r := range expired {
+		pq, found := g.queued[r.ID.Sequence]
+		if found && r.QueueDeadline.Before(r.Deadline) && p.waitsUntilDeadline(g, pq, now) {
+			p.enqueue(g, pq, now)
+			continue
+		}
 		p.reject(g, r, rosemarylb.ReasonDeadline, now)
 	}
 }
--- a/internal/traffic/proxy/queue_test.go
+++ b/internal/traffic/proxy/queue_test.go
@@ -49,3 +49,36 @@
 		t.Errorf("got %s, want e2", s.to)
 	}
 }
+
+// After many machines lost power, their connections use up the endpoint's limit
+// for seconds. Every instance is short of connections then, so a caller that is
+// sent away soon uses up its retries.
+func TestQueryWaitsUntilDeadlineWhileConnectionsAreExhausted(t *testing.T) {
+	tests := []struct {
+		name     string
+		code     rosemarylb.ReplyCode
+		rejected bool
+	}{
+		{"connection limit reached", rosemarylb.ReplyConnectionLimit, false},
+		{"endpoint unreachable from here", rosemarylb.ReplyDone, true},
+	}
+	for _, test := range tests {
+		h := newHarness(t)
+		h.handle(QueryReceived{
+			Session: 1,
+			Query: rosemarylb.Query{
+				ID:     "q",
+				Kind:   rosemarylb.QueryWrite,
+				Writes: true,
+			},
+		})
+		for end := h.now.Add(450 * time.Millisecond); h.now.Before(end); h.now = h.now.Add(5 * time.Millisecond) {
+			h.rejectConnections(test.code)
+			h.permit("e1", 1, 500*time.Millisecond)
+			h.proxy.Tick(h.now)
+		}
+		if r, answered := h.last(1); answered != test.rejected {
+			t.Errorf("%s: got %v %s after half of the time, want rejected %v", test.name, answered, r.Code, test.rejected)
+		}
+	}
+}
