Reject sessions that wait for a configuration after one second

Cause: an instance that starts while the store is down has no configuration. Change: a session waits one second, then it is rejected as not run.

--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -54,7 +54,7 @@
 	connections     map[rosemarylb.ConnectionID]*connection
 	sessions        map[rosemarylb.SessionID]*session
 	endpointsKnown  bool
-	waitingSessions []SessionOpened
+	waitingSessions []waitingSession
 	peers           []rosemarylb.RelayPeer
 	lastID          uint64
 	nextTick        time.Time
@@ -176,6 +176,7 @@
 		p.dispatch(g, now)
 	}
 	p.expireConnections(now)
+	p.rejectWaitingSessions(now)
 	if !p.drain.CloseAt.IsZero() {
 		p.closeSessions(now)
 	}
@@ -236,8 +237,8 @@
 	p.catalog = e.Catalog
 	waiting := p.waitingSessions
 	p.waitingSessions = nil
-	for _, event := range waiting {
-		p.openSession(event, now)
+	for _, w := range waiting {
+		p.openSession(w.event, now)
 	}
 	for name := range e.Catalog.Groups {
 		p.group(name)
--- a/internal/traffic/proxy/proxy_test.go
+++ b/internal/traffic/proxy/proxy_test.go
@@ -326,6 +326,27 @@
 	}
 }
 
+// An instance that started while the store is down has no configuration. Its
+// callers are served by the other instances if they are sent away in time.
+func TestSessionIsRejectedWithoutConfiguration(t *testing.T) {
+	h := newHarness(t)
+	h.proxy = NewProxy(h, endpointPorts{harness: h})
+	h.join(9, "primary")
+	h.advance(900 * time.Millisecond)
+	h.wantNoAnswer(9)
+	h.advance(200 * time.Millisecond)
+	h.wantAnswer(9, rosemarylb.ReplyBusy, none)
+	if !h.closed[9] {
+		t.Error("got the session open, want it rejected")
+	}
+	h.handle(CatalogChanged{
+		Catalog: catalog(1),
+	})
+	if h.accepted[9] {
+		t.Error("got the rejected session accepted with the configuration, want it gone")
+	}
+}
+
 func TestRemovedRouteServesUntilTransactionEnds(t *testing.T) {
 	h, _ := inTransaction(t)
 	next := catalog(2)
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -11,11 +11,24 @@
 // sessionPipelineLimit is the maximum number of pipelined queries of a session.
 const sessionPipelineLimit = 64
 
+// sessionWaitTimeout is how long a session waits for the first configuration
+// before it is rejected, so that the caller can connect to another instance.
+const sessionWaitTimeout = time.Second
+
+// waitingSession is a session that waits for the first configuration.
+type waitingSession struct {
+	event     SessionOpened
+	expiresAt time.Time
+}
+
 // openSession accepts or rejects a session. Until the first configuration
 // arrives, the session waits, because its database cannot be looked up.
 func (p *Proxy) openSession(e SessionOpened, now time.Time) {
 	if p.catalog.Version == 0 {
-		p.waitingSessions = append(p.waitingSessions, e)
+		p.waitingSessions = append(p.waitingSessions, waitingSession{
+			event:     e,
+			expiresAt: now.Add(sessionWaitTimeout),
+		})
 		return
 	}
 	if _, found := p.catalog.Routes[e.Database]; !found && e.Endpoint == "" {
@@ -40,11 +53,24 @@
 	p.acceptSession(e.Session)
 }
 
+// rejectWaitingSessions rejects the sessions that have waited too long for the
+// first configuration.
+func (p *Proxy) rejectWaitingSessions(now time.Time) {
+	p.waitingSessions = slices.DeleteFunc(p.waitingSessions, func(waiting waitingSession) bool {
+		expired := now.After(waiting.expiresAt)
+		if expired {
+			p.rejectSession(waiting.event.Session,
+				rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance has no configuration yet"))
+		}
+		return expired
+	})
+}
+
 func (p *Proxy) endSession(e SessionClosed, now time.Time) {
 	s, found := p.sessions[e.Session]
 	if !found {
-		p.waitingSessions = slices.DeleteFunc(p.waitingSessions, func(waiting SessionOpened) bool {
-			return waiting.Session == e.Session
+		p.waitingSessions = slices.DeleteFunc(p.waitingSessions, func(waiting waitingSession) bool {
+			return waiting.event.Session == e.Session
 		})
 		return
 	}
