Give the connections of an endpoint to owners when instances outnumber them

Change: rendezvous hashing on the known instances of the region chooses as many owners as there are connections, less an eighth that stays free for those that replace a lost owner; all others relay, and through owners only. While a new keeper has met less than half of the instances, the former list stays.

--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -57,22 +57,21 @@
 		// region of the endpoint share them, and all others use relays.
 		far = 0
 	}
-	if p.region != ep.spec.Region {
+	switch {
+	case p.region != ep.spec.Region:
 		return min(far, 1)
+	case connections < near:
+		// There is less than one connection per instance of the region.
+		return p.ownedConnections(ep)
+	default:
+		return max((connections-far)/near, 1)
 	}
-	return max((connections-far)/near, 1)
 }
 
 // peersInRegion returns the number of instances in a region that accept relayed
 // queries.
 func (p *Proxy) peersInRegion(r rosemarylb.RegionName) int {
-	n := 0
-	for _, peer := range p.peers {
-		if peer.Region == r {
-			n++
-		}
-	}
-	return n
+	return p.peersByRegion[r]
 }
 
 // canOpen reports whether another direct connection may be opened now.
--- /dev/null
+++ b/internal/traffic/proxy/owner.go
@@ -0,0 +1,101 @@
+package proxy
+
+import (
+	"slices"
+
+	"rosemarylb"
+	"rosemarylb/internal/traffic/placement"
+)
+
+// spareConnectionDivisor is the divisor of an endpoint's connections that gives
+// how many of them have no owner. They let an instance that replaces a lost owner
+// connect while the endpoint still counts the connection of the lost one.
+const spareConnectionDivisor = 8
+
+// endpointOwners are the instances that hold the connections to an endpoint with
+// fewer connections than instances in its region; the others relay through them.
+type endpointOwners struct {
+	// peersRevision and connections are what the owners were chosen for.
+	peersRevision uint64
+	connections   int
+	addresses     []string
+	owned         bool
+}
+
+// applyPeers replaces the list of instances that accept relayed queries. While a
+// new keeper has met less than half of the instances, the former list stays, so
+// that the owners do not all change.
+func (p *Proxy) applyPeers(peers []rosemarylb.RelayPeer) {
+	if len(peers) < len(p.peers) && 2*len(peers) < p.share.Members {
+		return
+	}
+	p.peers = peers
+	p.peersRevision++
+	p.peersByRegion = map[rosemarylb.RegionName]int{}
+	for _, peer := range peers {
+		p.peersByRegion[peer.Region]++
+	}
+}
+
+// ownedConnections returns the number of connections that this instance owns, 0
+// or 1.
+func (p *Proxy) ownedConnections(ep *endpointPool) int {
+	if p.owners(ep).owned {
+		return 1
+	}
+	return 0
+}
+
+// owners returns the owners of an endpoint. They are chosen by rendezvous hashing
+// among the instances of its region, so that all instances agree on them, and few
+// change when an instance comes or goes.
+func (p *Proxy) owners(ep *endpointPool) endpointOwners {
+	connections := ep.spec.Connections - reservedConnections
+	if ep.owners.peersRevision == p.peersRevision && ep.owners.connections == connections {
+		return ep.owners
+	}
+	var near []string
+	weights := map[string]uint64{}
+	for _, peer := range p.peers {
+		if peer.Region != ep.spec.Region {
+			continue
+		}
+		near = append(near, peer.Address)
+		weights[peer.Address] = placement.Weight(rosemarylb.InstanceID(peer.Address), string(ep.spec.ID))
+	}
+	slices.SortFunc(near, func(x, y string) int {
+		switch {
+		case weights[x] > weights[y]:
+			return -1
+		case weights[x] < weights[y]:
+			return 1
+		default:
+			return 0
+		}
+	})
+	count := max(connections-connections/spareConnectionDivisor, 1)
+	near = near[:min(len(near), count)]
+	ep.owners = endpointOwners{
+		peersRevision: p.peersRevision,
+		connections:   connections,
+		addresses:     near,
+		owned:         slices.Contains(near, p.address),
+	}
+	return ep.owners
+}
+
+// relayCandidates returns the addresses of the instances in the region of an
+// endpoint through which a relay connection may be opened: its owners, if there is
+// less than one connection for each instance of the region.
+func (p *Proxy) relayCandidates(ep *endpointPool) []string {
+	if ep.spec.Connections-reservedConnections < p.peersInRegion(ep.spec.Region) {
+		return p.owners(ep).addresses
+	}
+	var near []string
+	for _, peer := range p.peers {
+		if peer.Region == ep.spec.Region {
+			near = append(near, peer.Address)
+		}
+	}
+	return near
+}
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -56,6 +56,8 @@
 	endpointsKnown  bool
 	waitingSessions []waitingSession
 	peers           []rosemarylb.RelayPeer
+	peersRevision   uint64
+	peersByRegion   map[rosemarylb.RegionName]int
 	lastID          uint64
 	nextTick        time.Time
 	inFlight        int
@@ -151,7 +153,7 @@
 	case PermitsReceived:
 		p.applyPermits(e, now)
 	case PeersChanged:
-		p.peers = e.Peers
+		p.applyPeers(e.Peers)
 	case ShareChanged:
 		p.share = e.Share
 	case DrainStarted:
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -131,18 +131,17 @@
 		!ep.group.hasLocalQueries() {
 		return
 	}
-	var near []rosemarylb.RelayPeer
-	for _, peer := range p.peers {
-		if peer.Region == ep.spec.Region && peer.Address != p.address && ep.mayRelayThrough(peer.Address, now) {
-			near = append(near, peer)
+	var near []string
+	for _, address := range p.relayCandidates(ep) {
+		if address != p.address && ep.mayRelayThrough(address, now) {
+			near = append(near, address)
 		}
 	}
 	if len(near) == 0 {
 		return
 	}
 	p.lastID++
-	peer := near[p.lastID%uint64(len(near))]
-	p.open(ep, ep.spec.WithRelay(peer.Address), now)
+	p.open(ep, ep.spec.WithRelay(near[p.lastID%uint64(len(near))]), now)
 }
 
 // mayRelayThrough reports whether a relay connection may be opened through the
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -124,6 +124,7 @@
 	nextRelayAt    time.Time
 	softLimit      int
 	softLimitUntil time.Time
+	owners         endpointOwners
 	// relayRejectedUntil is, for the address of each instance that rejected a
 	// relay connection to the endpoint, the time until which it is not asked again.
 	relayRejectedUntil map[string]time.Time
