Make the keeper's work per report and per decision independent of the fleet's size

Cause: each report cloned the map of members, and each reply sorted and hashed all of them; each decision went through all members for each group, and stored every group again though nothing had changed. The list of peers ended at 128 and was sent whole at each change. Instances are sent the peers that came or left since their version, and the list has no end.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -69,16 +69,18 @@
 // the start of one, or the next probe of its primary.
 func (k Keeper) decideGroup(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
 	g := k.groups[name]
-	if g.observedSince.IsZero() {
-		g.observedSince = now
-	}
 	l := k.leadership(name)
-	if _, listed := k.endpointSpec(name, l.Primary); listed {
+	_, listed := k.endpointSpec(name, l.Primary)
+	if changed := g.observedSince.IsZero() || listed != g.missingSince.IsZero(); changed {
+		if g.observedSince.IsZero() {
+			g.observedSince = now
+		}
 		g.missingSince = time.Time{}
-	} else if g.missingSince.IsZero() {
-		g.missingSince = now
+		if !listed {
+			g.missingSince = now
+		}
+		k = k.withGroup(name, g)
 	}
-	k = k.withGroup(name, g)
 	switch {
 	case g.failingOver():
 		return k.decideFailover(name, d, now)
@@ -94,7 +96,7 @@
 	if now.Sub(k.lastAnswerAt(name, l)) > fastProbeAfter {
 		interval = fastProbeInterval
 	}
-	if e, listed := k.endpointSpec(name, l.Primary); listed {
+	if e, listed := k.endpointSpec(name, l.Primary); listed && g.probeDue(e.ID, now) {
 		g, d = g.probe(d, e, interval, now)
 		k = k.withGroup(name, g)
 	}
--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -158,31 +158,21 @@
 	if g.observedSince.After(at) {
 		at = g.observedSince
 	}
-	for _, m := range k.members {
-		e := m.observations[name]
-		if e.Primary == l.Primary && e.AnsweredAt.After(at) {
-			at = e.AnsweredAt
-		}
+	reported := k.members.answeredAt[observedPrimary{
+		group:    name,
+		endpoint: l.Primary,
+	}]
+	if reported.After(at) {
+		at = reported
 	}
 	return at
 }
 
-// recentReports returns the number of instances whose report is recent.
-func (k Keeper) recentReports(now time.Time) int {
-	n := 0
-	for _, m := range k.members {
-		if now.Sub(m.reportedAt) <= reportMaxAge {
-			n++
-		}
-	}
-	return n
-}
-
 // hasEnoughReports reports whether at least half of the instances have reported
 // recently, so that a keeper which is cut off from the fleet fails nothing over.
-func (k Keeper) hasEnoughReports(now time.Time) bool {
-	recent := k.recentReports(now)
-	return recent*2 >= len(k.members) && recent > 0
+func (k Keeper) hasEnoughReports() bool {
+	recent := k.fleet.recentReports
+	return recent*2 >= k.members.count() && recent > 0
 }
 
 // unreachable reports whether the primary fails for most of the instances that
@@ -190,14 +180,14 @@
 // few failures on a quiet database are no reason for a failover.
 func (k Keeper) unreachable(name rosemarylb.DatabaseName, l Leadership, now time.Time) bool {
 	failing := 0
-	for _, m := range k.members {
+	for _, m := range k.members.allFailing() {
 		e := m.observations[name]
 		recent := e.Primary == l.Primary && now.Sub(m.reportedAt) <= reportMaxAge
 		if recent && !e.FirstFailureAt.IsZero() && now.Sub(e.FirstFailureAt) > deadTimeout {
 			failing++
 		}
 	}
-	return failing*2 > k.recentReports(now)
+	return failing*2 > k.fleet.recentReports
 }
 
 // failoverReason returns why a group's primary has to be replaced, or the empty
@@ -214,7 +204,7 @@
 		return "leaving"
 	case s.probedAt.After(g.observedSince) && !s.isPrimary:
 		return "demoted"
-	case !k.hasEnoughReports(now):
+	case !k.hasEnoughReports():
 		return ""
 	case s.refusals >= deadProbeFailures && silence > refusedTimeout:
 		return "refused"
@@ -231,7 +221,7 @@
 // its permits have expired.
 func (k Keeper) presumedDead(name rosemarylb.DatabaseName, l Leadership, now time.Time) bool {
 	s := k.groups[name].states[l.Primary]
-	return s.failures >= deadProbeFailures && now.Sub(k.lastAnswerAt(name, l)) > deadTimeout && k.hasEnoughReports(now)
+	return s.failures >= deadProbeFailures && now.Sub(k.lastAnswerAt(name, l)) > deadTimeout && k.hasEnoughReports()
 }
 
 // hasReplacement reports whether the group has another endpoint that is not
@@ -254,14 +244,19 @@
 	return rosemarylb.EndpointSpec{}, false
 }
 
+// probeDue reports whether the next status query to an endpoint is due.
+func (g groupState) probeDue(id rosemarylb.EndpointID, now time.Time) bool {
+	return !now.Before(g.states[id].nextProbeAt)
+}
+
 // probe adds a status query to the decision when the endpoint's next one is due.
 func (g groupState) probe(
 	d Decision, e rosemarylb.EndpointSpec, interval time.Duration, now time.Time,
 ) (groupState, Decision) {
-	s := g.states[e.ID]
-	if now.Before(s.nextProbeAt) {
+	if !g.probeDue(e.ID, now) {
 		return g, d
 	}
+	s := g.states[e.ID]
 	s.nextProbeAt = now.Add(interval)
 	d.Queries = append(d.Queries, EndpointQuery{
 		Endpoint: e,
--- a/internal/failover/keeper/health_test.go
+++ b/internal/failover/keeper/health_test.go
@@ -50,7 +50,7 @@
 		}
 		k = k.WithReport(r, now)
 	}
-	return k
+	return k.withFleetSummary(now)
 }
 
 func TestOnlyMajorityReplacesPrimaryThatAnswersKeeper(t *testing.T) {
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -1,9 +1,6 @@
 package keeper
 
 import (
-	"hash/fnv"
-	"maps"
-	"slices"
 	"time"
 
 	"rosemarylb"
@@ -132,16 +129,6 @@
 	LogEvents []LogEvent
 }
 
-// member is the last report of an instance.
-type member struct {
-	reportedAt      time.Time
-	storeAnsweredAt time.Time
-	address         string
-	peer            rosemarylb.RelayPeer
-	catalogVersion  uint64
-	observations    map[rosemarylb.DatabaseName]Observation
-}
-
 // Keeper is an instance's failover controller. It takes the lease when it is free
 // and replaces primaries while it holds the lease. It is an immutable value.
 type Keeper struct {
@@ -188,7 +175,9 @@
 	recordUncertain bool
 	readNotBefore   time.Time
 
-	members   map[rosemarylb.InstanceID]member
+	members members
+	// fleet is what the last decision derived from all reports.
+	fleet     fleetSummary
 	endpoints map[rosemarylb.DatabaseName][]rosemarylb.EndpointSpec
 	groups    map[rosemarylb.DatabaseName]groupState
 	logEvents []LogEvent
@@ -229,71 +218,17 @@
 	return k
 }
 
-// WithReport stores an instance's report and removes instances whose last report
-// is older than memberTimeout. It ignores reports for reportIgnoreDuration after a
-// pause of the process.
+// WithReport stores an instance's report. It ignores reports for
+// reportIgnoreDuration after a pause of the process.
 func (k Keeper) WithReport(r Report, now time.Time) Keeper {
 	k = k.withPauseCheck(now)
 	if now.Before(k.ignoreReportsUntil) {
 		return k
 	}
-	k.members = maps.Clone(k.members)
-	if k.members == nil {
-		k.members = map[rosemarylb.InstanceID]member{}
-	}
-	seen := map[rosemarylb.DatabaseName]Observation{}
-	for _, e := range r.Observations {
-		seen[e.Group] = e
-	}
-	k.members[r.From] = member{
-		reportedAt:      now,
-		storeAnsweredAt: r.StoreAnsweredAt,
-		address:         r.Address,
-		peer:            r.Peer,
-		catalogVersion:  r.CatalogVersion,
-		observations:    seen,
-	}
-	for id, m := range k.members {
-		if now.Sub(m.reportedAt) > memberTimeout {
-			delete(k.members, id)
-		}
-	}
+	k.members = k.members.withReport(r, now)
 	return k
 }
 
-// Share returns an instance's share of the connections to each endpoint.
-func (k Keeper) Share(instance rosemarylb.InstanceID) rosemarylb.ConnectionShare {
-	s := rosemarylb.ConnectionShare{
-		Members: max(len(k.members), k.record.Members),
-	}
-	for id := range k.members {
-		if id < instance {
-			s.Index++
-		}
-	}
-	return s
-}
-
-// maxPeers is the number of peers that an instance is sent, so that the list stays
-// within a few kilobytes.
-const maxPeers = 128
-
-// Peers returns the instances that accept relayed queries, at most maxPeers, and
-// the version of that list, which is a hash of it.
-func (k Keeper) Peers() ([]rosemarylb.RelayPeer, uint64) {
-	var peers []rosemarylb.RelayPeer
-	h := fnv.New64a()
-	for _, id := range slices.Sorted(maps.Keys(k.members)) {
-		p := k.members[id].peer
-		if p.Address == "" || len(peers) >= maxPeers {
-			continue
-		}
-		peers = append(peers, p)
-		_, _ = h.Write([]byte(p.Address + " " + string(p.Region) + " "))
-	}
-	return peers, h.Sum64()
-}
-
 // Grants returns a grant for each group whose primary may be used, or false when
 // this instance may not act as the keeper.
 func (k Keeper) Grants(now time.Time) ([]Grant, bool) {
@@ -340,6 +275,7 @@
 		k.releasedToken = k.record.Token
 		k = k.withoutLease("yielded, as the store answers others")
 	}
+	k = k.withFleetSummary(now)
 	k = k.withWitnessCheck(now)
 	if k.mayAct(now) && !k.shuttingDown {
 		for name := range k.endpoints {
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -155,7 +155,7 @@
 	}
 	next := k.record
 	if now.After(k.membersSince.Add(memberTimeout)) {
-		next = next.WithMembers(len(k.members)).WithWitnesses(k.nextWitnesses())
+		next = next.WithMembers(k.members.count()).WithWitnesses(k.nextWitnesses())
 	}
 	changed := next.Members != k.record.Members || !maps.Equal(next.Witnesses, k.record.Witnesses)
 	if k.needsNewToken(now) {
@@ -219,7 +219,7 @@
 		k.promotionPending() {
 		return false
 	}
-	for id, m := range k.members {
+	for id, m := range k.members.all() {
 		if id != k.self && now.Sub(m.reportedAt) < reportMaxAge &&
 			now.Sub(m.storeAnsweredAt) < storeAnswerMaxAge && m.storeAnsweredAt.After(k.storeFailingSince) {
 			return true
--- a/internal/failover/keeper/notification.go
+++ b/internal/failover/keeper/notification.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -49,42 +48,14 @@
 // WatchesStore reports whether an instance that receives notifications has to watch the
 // configuration and the record in the store as well.
 func (k Keeper) WatchesStore(id rosemarylb.InstanceID) bool {
-	return slices.Contains(k.storeWatchers(), id)
-}
-
-// storeWatchers returns the instances beside the holder that watch the store. They
-// are chosen by the hash of their identifiers, so that they seldom share a failure
-// domain.
-func (k Keeper) storeWatchers() []rosemarylb.InstanceID {
-	var all []rosemarylb.InstanceID
-	for id := range k.members {
-		if id != k.self {
-			all = append(all, id)
-		}
-	}
-	slices.SortFunc(all, func(x, y rosemarylb.InstanceID) int {
-		if hx, hy := hashInstance(x), hashInstance(y); hx != hy {
-			if hx < hy {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
-	return all[:min(len(all), storeWatcherCount)]
-}
-
-func hashInstance(id rosemarylb.InstanceID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	return h.Sum64()
+	return slices.Contains(k.fleet.storeWatchers, id)
 }
 
 // LatestCatalogVersion returns the latest version of the configuration that any
 // instance has.
 func (k Keeper) LatestCatalogVersion() uint64 {
 	latest := uint64(0)
-	for _, m := range k.members {
+	for _, m := range k.members.all() {
 		latest = max(latest, m.catalogVersion)
 	}
 	return latest
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -1,8 +1,6 @@
 package keeper
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"rosemarylb"
@@ -45,15 +43,20 @@
 func (k Keeper) nextWitnesses() map[rosemarylb.InstanceID]string {
 	chosen := map[rosemarylb.InstanceID]string{}
 	for id := range k.record.Witnesses {
-		if m, known := k.members[id]; known {
+		if m, known := k.members.get(id); known {
 			chosen[id] = m.address
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(k.members)) {
+	if len(chosen) >= min(maxWitnesses, k.members.count()) {
+		return chosen
+	}
+	for _, id := range k.fleet.instances {
 		if len(chosen) >= maxWitnesses {
 			break
 		}
-		chosen[id] = k.members[id].address
+		if m, known := k.members.get(id); known {
+			chosen[id] = m.address
+		}
 	}
 	return chosen
 }
@@ -65,7 +68,7 @@
 	paused := k.holdsLease && now.Sub(k.lastActiveAt) > maxDecisionGap
 	k.lastActiveAt = now
 	if paused {
-		k.members = nil
+		k.members = members{}
 		k.membersSince = now
 		k.ignoreReportsUntil = now.Add(reportIgnoreDuration)
 	}
@@ -92,7 +95,7 @@
 			continue
 		}
 		others++
-		if m, known := k.members[id]; known && now.Sub(m.reportedAt) < witnessTimeout {
+		if m, known := k.members.get(id); known && now.Sub(m.reportedAt) < witnessTimeout {
 			reporting++
 		}
 	}
--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -49,10 +49,8 @@
 	HolderAddress string
 	// HolderToken is the fencing token of that holder.
 	HolderToken uint64
-	// Peers are the instances that accept forwarded queries; PeersVersion
-	// identifies the list.
-	Peers        []rosemarylb.RelayPeer
-	PeersVersion uint64
+	// Peers are the instances that accept forwarded queries.
+	Peers keeper.PeerList
 	// SendsChanges is true when these replies report changes in the store to the
 	// requesting instance. WatchesStore is true when that instance has to watch the
 	// configuration and the record in the store as well.
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -207,7 +207,6 @@
 	r.keeper = r.keeper.WithReport(e.Report, now)
 	grants, holds := r.keeper.Grants(now)
 	record := r.keeper.Record()
-	peers, peersVersion := r.keeper.Peers()
 	select {
 	case e.Reply <- PermitReply{
 		IsHolder:      holds,
@@ -216,8 +215,7 @@
 		ReleasedToken: r.keeper.ReleasedToken(),
 		HolderAddress: record.Address,
 		HolderToken:   record.Token,
-		Peers:         peers,
-		PeersVersion:  peersVersion,
+		Peers:         r.keeper.Peers(),
 
 		SendsChanges:     r.notifies(e.Report.From, now),
 		WatchesStore:     r.keeper.WatchesStore(e.Report.From),
--- a/internal/peer/instance/notification.go
+++ b/internal/peer/instance/notification.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rosemarylb"
@@ -10,22 +12,34 @@
 	"rosemarylb/internal/traffic/proxy"
 )
 
-// updatePeers passes the list of peers to the proxy when the reply contains a new
-// version of it.
+// updatePeers applies the changes of the list of peers in a reply, and passes the
+// list to the proxy. Changes of a version that this instance does not have are
+// ignored; the next request then asks for the whole list.
 func (pr *PermitRequester) updatePeers(reply *link.PermitReply) {
 	if reply.GetPeersVersion() == 0 {
 		return
 	}
-	pr.peersVersion = reply.GetPeersVersion()
-	var peers []rosemarylb.RelayPeer
+	peers := map[string]rosemarylb.RelayPeer{}
+	if since := reply.GetPeersSince(); since != 0 {
+		if since != pr.peersVersion {
+			pr.peersVersion = 0
+			return
+		}
+		peers = pr.peers
+	}
+	for _, address := range reply.GetPeersGone() {
+		delete(peers, address)
+	}
 	for _, p := range reply.GetPeers() {
-		peers = append(peers, rosemarylb.RelayPeer{
+		peers[p.GetAddress()] = rosemarylb.RelayPeer{
 			Address: p.GetAddress(),
 			Region:  rosemarylb.RegionName(p.GetRegion()),
-		})
+		}
 	}
+	pr.peers = peers
+	pr.peersVersion = reply.GetPeersVersion()
 	pr.proxyRing.Put(proxy.PeersChanged{
-		Peers: peers,
+		Peers: slices.Collect(maps.Values(peers)),
 	})
 }
 
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -46,6 +46,7 @@
 	self                rosemarylb.InstanceID
 	address             string
 	relayPeer           rosemarylb.RelayPeer
+	peers               map[string]rosemarylb.RelayPeer
 	peersVersion        uint64
 	notification        *duty.Latest[keeper.Notification]
 	endpointsVersion    uint64
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -132,14 +132,8 @@
 			encoded.Endpoints = encodeEndpoints(reply.Endpoints)
 		}
 	}
-	if reply.IsHolder && reply.PeersVersion != peersVersion {
-		encoded.PeersVersion = reply.PeersVersion
-		for _, p := range reply.Peers {
-			encoded.Peers = append(encoded.Peers, &link.Peer{
-				Address: p.Address,
-				Region:  string(p.Region),
-			})
-		}
+	if reply.IsHolder && reply.Peers.Version() != peersVersion {
+		encodePeerUpdate(encoded, reply.Peers.UpdateSince(peersVersion))
 	}
 	for _, g := range reply.Grants {
 		p := &link.GrantedPermit{
@@ -156,6 +150,18 @@
 	return encoded
 }
 
+func encodePeerUpdate(encoded *link.PermitReply, update keeper.PeerUpdate) {
+	encoded.PeersVersion = update.Version
+	encoded.PeersSince = update.Since
+	encoded.PeersGone = update.Removed
+	for _, p := range update.Added {
+		encoded.Peers = append(encoded.Peers, &link.Peer{
+			Address: p.Address,
+			Region:  string(p.Region),
+		})
+	}
+}
+
 func decodeGrants(r *link.PermitReply) []keeper.Grant {
 	var grants []keeper.Grant
 	for _, p := range r.GetPermits() {
