Derive the keeper's lists in proportion to the fleet's size

Cause: after a restart of all machines a list that was up to 250 ms old kept instances from their share of the connections. Change: the lists are derived anew every millisecond for each instance that reports: 9 ms at 9 instances, 300 ms at 300.

--- a/internal/failover/keeper/fleet.go
+++ b/internal/failover/keeper/fleet.go
@@ -9,9 +9,11 @@
 	"rosemarylb"
 )
 
-// fleetListInterval is the interval between updates of the lists that a holder
-// derives from all reports. Replies to single instances use the last lists.
-const fleetListInterval = 250 * time.Millisecond
+// listIntervalPerInstance is the interval between updates of the lists that a
+// holder derives from all reports, for each instance that reports. Deriving them
+// takes time in proportion to the instances, so it uses the same share of the
+// processor in a fleet of any size. Replies to single instances use the last lists.
+const listIntervalPerInstance = time.Millisecond
 
 // fleetSummary is what the holder derives from the reports of all instances.
 type fleetSummary struct {
@@ -30,7 +32,7 @@
 // withFleetSummary removes silent instances and derives the summary anew.
 func (k Keeper) withFleetSummary(now time.Time) Keeper {
 	k.fleet.recentReports = k.members.recentReports(now)
-	if now.Sub(k.fleet.listedAt) < fleetListInterval {
+	if now.Sub(k.fleet.listedAt) < time.Duration(k.members.count())*listIntervalPerInstance {
 		return k
 	}
 	k.members = k.members.withoutSilent(now)
