--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -35,6 +35,10 @@
 // the expiry of permits and the promotion.
 const failoverWindow = 2500 * time.Millisecond
 
+// relayReplyMargin is how long before its deadline a relayed query is rejected at
+// the latest, so that the instance that sent it still learns that it has not run.
+const relayReplyMargin = 100 * time.Millisecond
+
 // placementDelay is the delay before another placement attempt when no endpoint
 // can serve a query.
 const placementDelay = 10 * time.Millisecond
@@ -89,8 +93,11 @@
 // rejected at once.
 func (p *Proxy) enqueue(g *group, pq *pendingQuery, now time.Time) {
 	until := pq.deadline
-	if !p.waitsUntilDeadline(g, pq, now) {
+	switch {
+	case !p.waitsUntilDeadline(g, pq, now):
 		until = pq.arrivedAt.Add(pq.deadline.Sub(pq.arrivedAt) / queueTimeDivisor)
+	case pq.session.relayEndpoint != "":
+		until = pq.deadline.Add(-relayReplyMargin)
 	}
 	r := rosemarylb.Request{
 		ID: rosemarylb.RequestID{
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -427,3 +427,14 @@
 		t.Errorf("got %s sent through the third instance, want %s", got, want)
 	}
 }
+
+// A relayed write that its relay keeps until the deadline counts as sent at the
+// other instance, which then has to report an unknown outcome.
+func TestRelayedQueryIsRejectedBeforeDeadline(t *testing.T) {
+	h := newHarness(t)
+	h.proxy.relayPort = h
+	h.advance(600 * time.Millisecond)
+	h.relayQuery(20, "e1", rosemarylb.QueryWrite)
+	h.advance(500*time.Millisecond - relayReplyMargin/2)
+	h.wantAnswer(20, rosemarylb.ReplyBusy, none)
+}
