Let single statements go before transactions while connections are exhausted

Cause: after all machines lost power an instance got one or two connections to a primary until the endpoint dropped those of the dead. Change: while the primary's connections are exhausted, first statements of transactions wait in a queue of their own, after others of the same rank.

--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -163,7 +163,7 @@
 	if r.Code == rosemarylb.ReplyDone {
 		ep.stats = ep.stats.withLatency(now.Sub(pq.sentAt))
 	}
-	q := &ep.group.queues[pq.queueKind()]
+	q := &ep.group.queues[pq.queue]
 	*q = (*q).WithServed(pq.route.Rank, now.Sub(pq.sentAt)).
 		WithServiceConfig(queueSettings, p.slotCount(ep.group, pq.needsPrimary, now))
 	if r.Code == rosemarylb.ReplyNoStatement {
--- a/internal/traffic/proxy/harness_test.go
+++ b/internal/traffic/proxy/harness_test.go
@@ -179,6 +179,12 @@
 // ask sends a query of a session and establishes the connections that the proxy
 // opens.
 func (h *harness) ask(id rosemarylb.SessionID, kind rosemarylb.QueryKind) {
+	h.receive(id, kind)
+	h.openConnections()
+}
+
+// receive sends a query of a session.
+func (h *harness) receive(id rosemarylb.SessionID, kind rosemarylb.QueryKind) {
 	h.queryCount++
 	h.handle(QueryReceived{
 		Session: id,
@@ -188,7 +194,6 @@
 			Writes: kind == rosemarylb.QueryWrite,
 		},
 	})
-	h.openConnections()
 }
 
 func (h *harness) openConnections() {
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -19,8 +19,12 @@
 	queuePrimaryReads
 	// queueReads holds reads that any endpoint of the group may serve.
 	queueReads
+	// queueTransactions holds the first statements of transactions on the primary
+	// while its connections are exhausted. A transaction keeps its connection for
+	// many statements, so single statements of the same rank go first then.
+	queueTransactions
 
-	queueKindCount = 3
+	queueKindCount = 4
 )
 
 // queueTimeDivisor is the divisor of the timeout of a query that gives its
@@ -55,11 +59,13 @@
 	return queues
 }
 
-// queueKind returns the queue that the query waits in.
-func (pq *pendingQuery) queueKind() queueKind {
+// chooseQueue returns the queue for a query to wait in.
+func (p *Proxy) chooseQueue(g *group, pq *pendingQuery, now time.Time) queueKind {
 	switch {
 	case !pq.needsPrimary:
 		return queueReads
+	case pq.needsBegin && p.connectionsExhausted(g, true, now):
+		return queueTransactions
 	case pq.inTransaction || pq.query.Writes:
 		return queueWrites
 	default:
@@ -109,8 +115,9 @@
 		Deadline:      pq.deadline,
 	}
 	g.queued[pq.number] = pq
-	rest, rejection := g.queues[pq.queueKind()].WithRequest(r, now)
-	g.queues[pq.queueKind()] = rest
+	pq.queue = p.chooseQueue(g, pq, now)
+	rest, rejection := g.queues[pq.queue].WithRequest(r, now)
+	g.queues[pq.queue] = rest
 	if rejection.Reason != rosemarylb.ReasonNone {
 		p.reject(g, rejection.Request, rejection.Reason, now)
 	}
@@ -186,7 +193,7 @@
 	id := rosemarylb.RequestID{
 		Sequence: pq.number,
 	}
-	g.queues[pq.queueKind()], _ = g.queues[pq.queueKind()].WithoutRequest(id)
+	g.queues[pq.queue], _ = g.queues[pq.queue].WithoutRequest(id)
 	g.delayed = slices.DeleteFunc(g.delayed, func(o *pendingQuery) bool {
 		return o == pq
 	})
--- a/internal/traffic/proxy/queue_test.go
+++ b/internal/traffic/proxy/queue_test.go
@@ -82,3 +82,41 @@
 		}
 	}
 }
+
+// While endpoints are out of connections, a transaction that takes the only one
+// keeps many single statements waiting until their callers are out of retries.
+func TestTransactionsWaitBehindStatementsWhileConnectionsAreExhausted(t *testing.T) {
+	tests := []struct {
+		name      string
+		exhausted bool
+		first     rosemarylb.QueryKind
+	}{
+		{"connections exhausted", true, rosemarylb.QueryWrite},
+		{"connections left", false, rosemarylb.QueryBegin},
+	}
+	for _, test := range tests {
+		h := newHarness(t)
+		h.register(spec("e1", "r"))
+		h.join(10, "primary")
+		h.join(11, "primary")
+		if test.exhausted {
+			h.receive(10, rosemarylb.QueryWrite)
+			h.rejectConnections(rosemarylb.ReplyConnectionLimit)
+			h.handle(SessionClosed{
+				Session: 10,
+			})
+		}
+		h.receive(1, rosemarylb.QueryBegin)
+		h.receive(1, rosemarylb.QueryWrite)
+		h.receive(11, rosemarylb.QueryWrite)
+		if test.exhausted {
+			h.now = h.now.Add(connectionLimitBackoff)
+			h.permit("e1", 1, 500*time.Millisecond)
+			h.proxy.Tick(h.now)
+		}
+		h.openConnections()
+		if got := h.nextSent().query.Kind; got != test.first {
+			t.Errorf("%s: got %s sent first, want %s", test.name, got, test.first)
+		}
+	}
+}
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -32,6 +32,7 @@
 	arrivedAt        time.Time
 	asOf             time.Time
 	deadline         time.Time
+	queue            queueKind
 	attempts         int
 	delayedUntil     time.Time
 	excluded         []rosemarylb.EndpointID
