Ask the only candidate of a failover again after it refused

Cause: an endpoint that refused its promotion, for example because it was still starting, was never a candidate again in the same failover. Change: the refusal counts for one second; the endpoint is a candidate again then.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -20,6 +20,9 @@
 	// stepDownTimeout is how long a primary may take to step down, and how long a
 	// failover waits for its first answer.
 	stepDownTimeout = 600 * time.Millisecond
+	// promotionRefusalDelay is how long an endpoint that refused its promotion is not
+	// a candidate again. It may have refused because it was about to start.
+	promotionRefusalDelay = time.Second
 	// discoveryTimeout is how long the endpoints of a group without a known
 	// primary are probed before one of them is promoted.
 	discoveryTimeout = 3 * time.Second
@@ -46,8 +49,9 @@
 	recordedAt     time.Time
 	stepDownSentAt time.Time
 	candidate      rosemarylb.EndpointID
-	// refusedBy is the last endpoint that refused its promotion.
+	// refusedBy is the last endpoint that refused its promotion, at refusedAt.
 	refusedBy rosemarylb.EndpointID
+	refusedAt time.Time
 	// promotionTarget is the endpoint of the last promotion that was sent.
 	promotionTarget     rosemarylb.EndpointID
 	promotionSentAt     time.Time
@@ -320,6 +324,10 @@
 		}
 		g.failover.candidate = chosen
 	}
+	if g.failover.candidate == g.failover.refusedBy {
+		// The order may be accepted this time.
+		g.failover.refusedBy = ""
+	}
 	g.failover.promotionSentAt = now
 	g.failover.promotionTarget = g.failover.candidate
 	g.failover.promotionPending = true
@@ -352,7 +360,8 @@
 	for _, e := range k.endpoints[name] {
 		s := g.states[e.ID]
 		fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
-		if !fresh || e.Leaving || e.ID == g.failover.refusedBy {
+		refused := e.ID == g.failover.refusedBy && now.Sub(g.failover.refusedAt) < promotionRefusalDelay
+		if !fresh || e.Leaving || refused {
 			continue
 		}
 		if e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted {
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -251,6 +251,7 @@
 	case rosemarylb.PromotionRefused:
 		g.failover.candidate = ""
 		g.failover.refusedBy = p.Endpoint
+		g.failover.refusedAt = now
 	default:
 		g.failover.retryAt = now.Add(promotionRetryDelay)
 	}
