--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -77,28 +77,59 @@
 	token   uint64
 }
 
-// NewPermitRequester returns a duty that is not yet started. It puts permits,
-// shares, peers and endpoints into the rings of the proxy and of the keeper's duty,
-// and stores the keeper's notifications.
+// PermitRequesterOption changes a PermitRequester under construction.
+type PermitRequesterOption func(*PermitRequester)
+
+// WithPermitLogger sets the logger. The default discards everything.
+func WithPermitLogger(l *slog.Logger) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.log = l
+	}
+}
+
+// WithPermitAddresses sets the host:port at which other instances reach this one,
+// and where it accepts queries that they relay.
+func WithPermitAddresses(address string, relay rosemarylb.RelayPeer) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.address = address
+		pr.relayPeer = relay
+	}
+}
+
+// WithStoreReports sets the time of the store's last answer, which is reported to
+// the keeper, and where the keeper's notifications of the store are stored.
+func WithStoreReports(
+	answeredAt *duty.Latest[time.Time], notification *duty.Latest[keeper.Notification],
+) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.storeAnsweredAt = answeredAt
+		pr.notification = notification
+	}
+}
+
+// NewPermitRequester returns a duty of an instance that is not yet started. It puts
+// permits, shares, peers and endpoints into the rings of the proxy and of the
+// keeper's duty, and reads the record in the store while the keeper is silent.
 func NewPermitRequester(
-	self rosemarylb.InstanceID, address string, relayPeer rosemarylb.RelayPeer, clock rosemarylb.Clock, log *slog.Logger,
-	store rosemarylb.Store, k *keeperduty.Runner, storeAnsweredAt *duty.Latest[time.Time],
-	notification *duty.Latest[keeper.Notification], p *proxy.Proxy,
+	self rosemarylb.InstanceID, clock rosemarylb.Clock, store rosemarylb.Store, k *keeperduty.Runner, p *proxy.Proxy,
+	options ...PermitRequesterOption,
 ) *PermitRequester {
-	return &PermitRequester{
+	pr := &PermitRequester{
 		self:            self,
-		address:         address,
-		relayPeer:       relayPeer,
 		clock:           clock,
-		log:             log,
+		log:             slog.New(slog.DiscardHandler),
 		store:           store,
 		keeperRunner:    k,
-		storeAnsweredAt: storeAnsweredAt,
-		notification:    notification,
+		storeAnsweredAt: duty.NewLatest(time.Time{}),
+		notification:    duty.NewLatest(keeper.Notification{}),
 		proxyStatus:     p.Status(),
 		proxyRing:       p.Ring(),
 		nextRequestAt:   clock.Now(),
 	}
+	for _, o := range options {
+		o(pr)
+	}
+	return pr
 }
 
 // Start runs the duty. The returned function stops it.
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -147,10 +147,14 @@
 				Endpoints: endpoints,
 			})
 		}))
-	i.addDuty(instance.NewPermitRequester(id.Instance, id.InstanceAddress, rosemarylb.RelayPeer{
+	relayPeer := rosemarylb.RelayPeer{
 		Address: id.RelayAddress,
 		Region:  id.Region,
-	}, i.clock, i.log, p.Store, i.keeperRunner, storeAnsweredAt, notification, i.proxy).Start())
+	}
+	i.addDuty(instance.NewPermitRequester(id.Instance, i.clock, p.Store, i.keeperRunner, i.proxy,
+		instance.WithPermitLogger(i.log),
+		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
+		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
 		return err
