Choose by hash who connects before the other instances are known

Cause: an instance that has started does not know the others until a keeper answers it. Each allowed itself one connection to each endpoint meanwhile, so that 294 instances that start at once open 294 of 88. Change: where instances outnumber connections, the hash of the instance and the endpoint decides whether it may open one, for three quarters of the owners by expectation. The number of instances comes from the record until a keeper tells.

--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -11,6 +11,7 @@
 	"rosemarylb/internal/failover/permit"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/traffic/placement"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,7 @@
 	self                rosemarylb.InstanceID
 	address             string
 	relayPeer           rosemarylb.RelayPeer
+	shareKnown          bool
 	peers               map[string]rosemarylb.RelayPeer
 	peersVersion        uint64
 	notification        *duty.Latest[keeper.Notification]
@@ -234,6 +236,7 @@
 	if !pr.keeperRunner.Witness().ObserveAnswer(pr.keeperToken, now) {
 		return errDeposed
 	}
+	pr.shareKnown = true
 	pr.proxyRing.Put(proxy.ShareChanged{
 		Share: rosemarylb.ConnectionShare{
 			Members: int(reply.GetMembers()),
@@ -286,11 +289,25 @@
 		pr.log.Error("the keeper's record cannot be read", "revision", o.Version, "error", err)
 		return
 	}
+	if !pr.shareKnown && r.Members > 0 {
+		pr.proxyRing.Put(proxy.ShareChanged{
+			Share: provisionalShare(pr.self, r.Members),
+		})
+	}
 	pr.proxyRing.Put(proxy.PermitsReceived{
 		Permits: permit.FromRecord(r, requestedAt),
 	})
 }
 
+// provisionalShare returns the share of an instance that no keeper has counted
+// yet. Its place among the members is a hash of its name.
+func provisionalShare(self rosemarylb.InstanceID, members int) rosemarylb.ConnectionShare {
+	return rosemarylb.ConnectionShare{
+		Members: members,
+		Index:   int(placement.Weight(self, "share") % uint64(members)),
+	}
+}
+
 // keeperClient returns a client of the lease holder with the highest known token,
 // by the record or by another instance's hint. It fails when no holder is known or
 // this instance has promised to ignore that holder.
--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -48,6 +48,9 @@
 	connections := ep.spec.Connections - reservedConnections
 	near := p.peersInRegion(ep.spec.Region)
 	if near == 0 || 2*len(p.peers) < p.share.Members {
+		if connections < p.share.Members {
+			return p.provisionalConnections(ep)
+		}
 		return p.share.Limit(connections, offset)
 	}
 	all := max(len(p.peers), p.share.Members)
--- a/internal/traffic/proxy/owner.go
+++ b/internal/traffic/proxy/owner.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"slices"
 
 	"rosemarylb"
@@ -73,8 +74,7 @@
 			return 0
 		}
 	})
-	count := max(connections-connections/spareConnectionDivisor, 1)
-	near = near[:min(len(near), count)]
+	near = near[:min(len(near), ownerCount(connections))]
 	ep.owners = endpointOwners{
 		peersRevision: p.peersRevision,
 		connections:   connections,
@@ -84,6 +84,25 @@
 	return ep.owners
 }
 
+// ownerCount returns how many of an endpoint's connections have an owner.
+func ownerCount(connections int) int {
+	return max(connections-connections/spareConnectionDivisor, 1)
+}
+
+// provisionalConnections returns the number of connections, 0 or 1, that this
+// instance may open to an endpoint before it knows the others: after a loss of
+// power all of them start at once and would use up the limit together. The hash of
+// its address decides, so how many may open one varies; three quarters of the
+// number of owners are expected.
+func (p *Proxy) provisionalConnections(ep *endpointPool) int {
+	weight := placement.Weight(rosemarylb.InstanceID(p.address), string(ep.spec.ID))
+	expected := ownerCount(ep.spec.Connections-reservedConnections) * 3 / 4
+	if weight < math.MaxUint64/uint64(p.share.Members)*uint64(expected) {
+		return 1
+	}
+	return 0
+}
+
 // relayCandidates returns the addresses of the instances in the region of an
 // endpoint through which a relay connection may be opened: its owners, if there is
 // less than one connection for each instance of the region.
--- a/internal/traffic/proxy/owner_test.go
+++ b/internal/traffic/proxy/owner_test.go
@@ -117,3 +117,22 @@
 		t.Errorf("got %d peers, want the former %d", got, want)
 	}
 }
+
+// After a loss of power all instances start at once, and none knows the others.
+func TestStartingInstancesOfLargeFleetStayWithinConnectionLimit(t *testing.T) {
+	for _, connections := range []int{46, 88} {
+		peers := largeFleet(147)
+		used := 0
+		for i := range peers {
+			p, ep := largeFleetProxy(peers[i:i+1], 0, connections)
+			p.share = rosemarylb.ConnectionShare{
+				Members: len(peers),
+				Index:   i,
+			}
+			used += p.connectionLimit(ep)
+		}
+		if used >= connections || used < connections/2 {
+			t.Errorf("got %d connections in use, want fewer than %d and at least half", used, connections)
+		}
+	}
+}
