--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -41,6 +41,10 @@
 // connectionLimit returns the number of direct connections that this instance
 // may hold to an endpoint.
 func (p *Proxy) connectionLimit(ep *endpointPool) int {
+	if ep.spec.Connections <= 0 {
+		// The configuration does not name a limit.
+		return 1
+	}
 	offset := 0
 	for _, char := range ep.spec.ID {
 		offset += int(char)
--- a/internal/traffic/proxy/owner_test.go
+++ b/internal/traffic/proxy/owner_test.go
@@ -136,3 +136,14 @@
 		}
 	}
 }
+
+func TestUnknownConnectionLimitAllowsOneConnection(t *testing.T) {
+	peers := largeFleet(40)
+	for _, known := range [][]rosemarylb.RelayPeer{peers, peers[:1]} {
+		p, ep := largeFleetProxy(known, 0, 0)
+		p.share.Members = len(peers)
+		if got := p.connectionLimit(ep); got != 1 {
+			t.Errorf("%d peers known: got %d connections, want 1", len(known), got)
+		}
+	}
+}
