--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -11,7 +11,6 @@
 	"rosemarylb/internal/failover/permit"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
-	"rosemarylb/internal/traffic/placement"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/cockroachdb/errors"
@@ -291,7 +290,10 @@
 	}
 	if !pr.shareKnown && r.Members > 0 {
 		pr.proxyRing.Put(proxy.ShareChanged{
-			Share: provisionalShare(pr.self, r.Members),
+			Share: rosemarylb.ConnectionShare{
+				Members:     r.Members,
+				Provisional: true,
+			},
 		})
 	}
 	pr.proxyRing.Put(proxy.PermitsReceived{
@@ -299,15 +301,6 @@
 	})
 }
 
-// provisionalShare returns the share of an instance that no keeper has counted
-// yet. Its place among the members is a hash of its name.
-func provisionalShare(self rosemarylb.InstanceID, members int) rosemarylb.ConnectionShare {
-	return rosemarylb.ConnectionShare{
-		Members: members,
-		Index:   int(placement.Weight(self, "share") % uint64(members)),
-	}
-}
-
 // keeperClient returns a client of the lease holder with the highest known token,
 // by the record or by another instance's hint. It fails when no holder is known or
 // this instance has promised to ignore that holder.
--- a/internal/traffic/proxy/owner_test.go
+++ b/internal/traffic/proxy/owner_test.go
@@ -126,8 +126,8 @@
 		for i := range peers {
 			p, ep := largeFleetProxy(peers[i:i+1], 0, connections)
 			p.share = rosemarylb.ConnectionShare{
-				Members: len(peers),
-				Index:   i,
+				Members:     len(peers),
+				Provisional: true,
 			}
 			used += p.connectionLimit(ep)
 		}
@@ -147,3 +147,17 @@
 		}
 	}
 }
+
+// The connections that a loss of power leaves are few; an instance that opens two
+// before it is counted takes one from another.
+func TestProvisionalShareAllowsOneConnection(t *testing.T) {
+	peers := largeFleet(4)
+	p, ep := largeFleetProxy(peers[:1], 0, 88)
+	p.share = rosemarylb.ConnectionShare{
+		Members:     len(peers),
+		Provisional: true,
+	}
+	if got := p.connectionLimit(ep); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
