Keep queries until their deadline at instances that are connected

Cause: a query that waited half of its time was rejected so that its caller tried another instance. In a burst all instances have a queue, and callers used up their retries in 1.2 s while the burst lasted 2.5 s. Change: an instance that has a connection and a permit keeps queries until their deadline; one that cannot reach the endpoints still rejects them after half.

--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -28,10 +28,9 @@
 )
 
 // queueTimeDivisor is the divisor of the timeout of a query that gives its
-// maximum queue time. After this time the query is rejected as not run, so that
-// the caller can retry on another instance. During a failover, or while the
-// endpoints have no connection left, no instance can serve the query sooner, and
-// it may wait until its deadline.
+// maximum queue time at an instance that cannot reach the endpoints. After this
+// time the query is rejected as not run, so that the caller can retry on another
+// instance. In other states it may wait until its deadline.
 const queueTimeDivisor = 2
 
 // failoverWindow is how long a group may be without a primary before its
@@ -124,9 +123,30 @@
 }
 
 // waitsUntilDeadline reports whether a query may stay queued until its deadline,
-// because no other instance can serve it sooner.
+// because no other instance can be expected to serve it sooner: a failover is in
+// progress, the endpoints have no connection left, or this instance is connected
+// and the query waits for others to be served.
 func (p *Proxy) waitsUntilDeadline(g *group, pq *pendingQuery, now time.Time) bool {
-	return p.failoverInProgress(g, now) || p.connectionsExhausted(g, pq.needsPrimary, now)
+	return p.failoverInProgress(g, now) || p.connectionsExhausted(g, pq.needsPrimary, now) ||
+		p.isConnected(g, pq.needsPrimary, now)
+}
+
+// isConnected reports whether this instance may use the primary of a group and has
+// a connection to an endpoint that may run a query.
+func (p *Proxy) isConnected(g *group, needsPrimary bool, now time.Time) bool {
+	primary := p.primary(g, now)
+	if primary == nil {
+		return false
+	}
+	for _, ep := range g.pools {
+		if needsPrimary && ep != primary || !p.acceptsReads(ep, now) {
+			continue
+		}
+		if len(ep.connections) > ep.count(connectionOpening) {
+			return true
+		}
+	}
+	return false
 }
 
 // failoverInProgress reports whether a group has had no usable primary for less
--- a/internal/traffic/proxy/queue_test.go
+++ b/internal/traffic/proxy/queue_test.go
@@ -120,3 +120,40 @@
 		}
 	}
 }
+
+// In a burst every instance has a queue. A caller that is sent away after half of
+// its time uses up its retries while the burst lasts.
+func TestQueryWaitsUntilDeadlineBehindOthersOnly(t *testing.T) {
+	tests := []struct {
+		name      string
+		connected bool
+	}{
+		{"connected", true},
+		{"the endpoint is unreachable from here", false},
+	}
+	for _, test := range tests {
+		h := newHarness(t)
+		h.register(spec("e1", "r"))
+		h.handle(ShareChanged{
+			Share: rosemarylb.ConnectionShare{
+				Members: 8,
+				Index:   7,
+			},
+		})
+		h.permit("e1", 1, 5*time.Second)
+		h.join(11, "primary")
+		if test.connected {
+			h.ask(1, rosemarylb.QueryWrite)
+			h.nextSent()
+		}
+		h.receive(11, rosemarylb.QueryWrite)
+		for end := h.now.Add(500 * time.Millisecond); h.now.Before(end); h.now = h.now.Add(5 * time.Millisecond) {
+			h.rejectConnections(rosemarylb.ReplyDone)
+			h.proxy.Tick(h.now)
+		}
+		if r, answered := h.last(11); answered == test.connected {
+			t.Errorf("%s: got answered %v %s after more than half of the time, want %v", test.name, answered, r.Code,
+				!test.connected)
+		}
+	}
+}
