Bound what an instance remembers of others

Cause: reading the change again: the addresses of relays that rejected a session, and the last answers of primaries, were kept for ever. Change: both are dropped when they are out of date.

--- a/internal/failover/keeper/members.go
+++ b/internal/failover/keeper/members.go
@@ -125,7 +125,8 @@
 	return m
 }
 
-// withoutSilent removes the instances whose last report is older than memberTimeout.
+// withoutSilent removes the instances whose last report is older than memberTimeout,
+// and the answers of primaries that are: a primary counts as silent far sooner.
 func (m members) withoutSilent(now time.Time) members {
 	for id, reported := range m.all() {
 		if now.Sub(reported.reportedAt) > memberTimeout {
@@ -133,6 +134,13 @@
 			m.failing = m.failing.Delete(string(id))
 		}
 	}
+	answeredAt := make(map[observedPrimary]time.Time, len(m.answeredAt))
+	for primary, at := range m.answeredAt {
+		if now.Sub(at) <= memberTimeout {
+			answeredAt[primary] = at
+		}
+	}
+	m.answeredAt = answeredAt
 	return m
 }
 
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"time"
 
 	"rosemarylb"
@@ -184,6 +185,9 @@
 	if ep.relayRejectedUntil == nil {
 		ep.relayRejectedUntil = map[string]time.Time{}
 	}
+	maps.DeleteFunc(ep.relayRejectedUntil, func(_ string, until time.Time) bool {
+		return !now.Before(until)
+	})
 	ep.relayRejectedUntil[c.via] = now.Add(relayRejectionBackoff)
 }
 
