Let the instances with most capacity succeed the keeper

Cause: in a fleet of 295 the keeper takes half of a core, and most instances have 0.192. Change: instances report their processor time; the holder chooses those with the most as witnesses, and an instance that is no witness leaves an available lease to them for a second.

--- a/internal/failover/keeper/fleet.go
+++ b/internal/failover/keeper/fleet.go
@@ -23,6 +23,8 @@
 	listedAt time.Time
 	// instances are the instances that report, sorted.
 	instances []rosemarylb.InstanceID
+	// byCapacity are the instances that report, those with the most capacity first.
+	byCapacity []rosemarylb.InstanceID
 	// storeWatchers are the instances beside the holder that watch the store.
 	storeWatchers []rosemarylb.InstanceID
 	// peers are the instances that accept relayed queries.
@@ -42,6 +44,12 @@
 		k.fleet.instances = append(k.fleet.instances, id)
 	}
 	slices.Sort(k.fleet.instances)
+	k.fleet.byCapacity = slices.Clone(k.fleet.instances)
+	slices.SortStableFunc(k.fleet.byCapacity, func(x, y rosemarylb.InstanceID) int {
+		first, _ := k.members.get(x)
+		second, _ := k.members.get(y)
+		return second.capacity - first.capacity
+	})
 	k.fleet.storeWatchers = k.chooseStoreWatchers()
 	var peers []rosemarylb.RelayPeer
 	for _, id := range k.fleet.instances {
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -35,6 +35,9 @@
 	// memberTimeout is how long an instance counts as a member after its last
 	// report.
 	memberTimeout = 3 * time.Second
+	// successionDelay is how long an instance that is no witness leaves an available
+	// lease to the witnesses, which have the most capacity.
+	successionDelay = time.Second
 )
 
 // Report is an instance's view of the system, sent with its request for permits.
@@ -51,6 +54,9 @@
 	Peer rosemarylb.RelayPeer
 	// CatalogVersion is the version of the configuration that it has.
 	CatalogVersion uint64
+	// Capacity is the processor time that the instance may use, in thousandths of a
+	// core, 0 if unknown.
+	Capacity int
 }
 
 // Observation is an instance's observation of one primary. Its times are by the
@@ -174,6 +180,8 @@
 	// recordUncertain is true while an unanswered write may change the record.
 	recordUncertain bool
 	readNotBefore   time.Time
+	// availableSince is since when the lease may be taken, zero while it may not.
+	availableSince time.Time
 
 	members members
 	// fleet is what the last decision derived from all reports.
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -148,7 +148,8 @@
 func (k Keeper) nextRecord(now time.Time) (Keeper, Record, bool) {
 	if !k.holdsLease {
 		k.cleanTakeover = k.leaseReleased()
-		return k, k.record.WithHolder(k.self, k.process, k.address), k.leaseAvailable(now)
+		k = k.withAvailability(now)
+		return k, k.record.WithHolder(k.self, k.process, k.address), k.mayTakeLease(now)
 	}
 	if k.shuttingDown {
 		return k, k.record.WithoutHolder(), !k.promotionPending()
@@ -189,6 +190,30 @@
 	}
 }
 
+// withAvailability records since when the lease may be taken.
+func (k Keeper) withAvailability(now time.Time) Keeper {
+	switch {
+	case !k.leaseAvailable(now):
+		k.availableSince = time.Time{}
+	case k.availableSince.IsZero():
+		k.availableSince = now
+	}
+	return k
+}
+
+// mayTakeLease reports whether this instance may take an available lease now. The
+// witnesses and the last holder come first.
+func (k Keeper) mayTakeLease(now time.Time) bool {
+	if k.availableSince.IsZero() {
+		return false
+	}
+	_, isWitness := k.record.Witnesses[k.self]
+	if isWitness || len(k.record.Witnesses) == 0 || k.record.Holder == k.self {
+		return true
+	}
+	return now.Sub(k.availableSince) >= successionDelay
+}
+
 // leaseReleased reports whether the last holder has released the lease, and so
 // sends no promotions and grants no permits.
 func (k Keeper) leaseReleased() bool {
--- a/internal/failover/keeper/members.go
+++ b/internal/failover/keeper/members.go
@@ -17,6 +17,7 @@
 	address         string
 	peer            rosemarylb.RelayPeer
 	catalogVersion  uint64
+	capacity        int
 	observations    map[rosemarylb.DatabaseName]Observation
 }
 
@@ -96,6 +97,7 @@
 		address:         r.Address,
 		peer:            r.Peer,
 		catalogVersion:  r.CatalogVersion,
+		capacity:        r.Capacity,
 		observations:    make(map[rosemarylb.DatabaseName]Observation, len(r.Observations)),
 	}
 	answeredAt := maps.Clone(m.answeredAt)
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -38,8 +38,8 @@
 }
 
 // nextWitnesses returns the witnesses for the next record: those of the current
-// record that still report, and further instances in the order of their
-// identifiers.
+// record that still report, and further instances, those with the most capacity
+// first, as a witness succeeds the holder.
 func (k Keeper) nextWitnesses() map[rosemarylb.InstanceID]string {
 	chosen := map[rosemarylb.InstanceID]string{}
 	for id := range k.record.Witnesses {
@@ -50,7 +50,7 @@
 	if len(chosen) >= min(maxWitnesses, k.members.count()) {
 		return chosen
 	}
-	for _, id := range k.fleet.instances {
+	for _, id := range k.fleet.byCapacity {
 		if len(chosen) >= maxWitnesses {
 			break
 		}
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -46,6 +46,7 @@
 	self                rosemarylb.InstanceID
 	address             string
 	relayPeer           rosemarylb.RelayPeer
+	capacity            int
 	shareKnown          bool
 	peers               map[string]rosemarylb.RelayPeer
 	peersVersion        uint64
@@ -97,6 +98,14 @@
 	}
 }
 
+// WithCapacity sets the processor time that the instance may use, in thousandths of
+// a core. The default is 0, unknown.
+func WithCapacity(millicores int) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.capacity = millicores
+	}
+}
+
 // WithStoreReports sets the time of the store's last answer, which is reported to
 // the keeper, and where the keeper's notifications of the store are stored.
 func WithStoreReports(
@@ -261,6 +270,7 @@
 
 		EndpointsVersion: pr.endpointsVersion,
 		CatalogVersion:   pr.proxyStatus.Load().CatalogVersion,
+		Capacity:         uint32(pr.capacity),
 	}
 	for _, o := range pr.proxyStatus.Load().Observations {
 		request.Evidence = append(request.Evidence, &link.Evidence{
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -82,6 +82,7 @@
 			Region:  rosemarylb.RegionName(request.GetRegion()),
 		},
 		CatalogVersion: request.GetCatalogVersion(),
+		Capacity:       int(request.GetCapacity()),
 	}
 	for _, e := range request.GetEvidence() {
 		r.Observations = append(r.Observations, keeper.Observation{
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -43,6 +43,9 @@
 	Domain rosemarylb.DomainName
 	// Region is the region of the domain.
 	Region rosemarylb.RegionName
+	// Capacity is the processor time that the instance may use, in thousandths of a
+	// core, 0 if unknown.
+	Capacity int
 	// InstanceAddress is the host:port for other instances.
 	InstanceAddress string
 	// RelayAddress is the host:port for queries that other instances relay.
@@ -154,6 +157,7 @@
 	i.addDuty(instance.NewPermitRequester(id.Instance, i.clock, p.Store, i.keeperRunner, i.proxy,
 		instance.WithPermitLogger(i.log),
 		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
+		instance.WithCapacity(id.Capacity),
 		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
