--- a/internal/traffic/proxy/queue_test.go
+++ b/internal/traffic/proxy/queue_test.go
@@ -64,14 +64,7 @@
 	}
 	for _, test := range tests {
 		h := newHarness(t)
-		h.handle(QueryReceived{
-			Session: 1,
-			Query: rosemarylb.Query{
-				ID:     "q",
-				Kind:   rosemarylb.QueryWrite,
-				Writes: true,
-			},
-		})
+		h.receive(1, rosemarylb.QueryWrite)
 		for end := h.now.Add(450 * time.Millisecond); h.now.Before(end); h.now = h.now.Add(5 * time.Millisecond) {
 			h.rejectConnections(test.code)
 			h.permit("e1", 1, 500*time.Millisecond)
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -318,14 +318,7 @@
 	h := newHarness(t)
 	h.proxy.relayPort = h
 	h.setPeers(2, 2)
-	h.handle(QueryReceived{
-		Session: 1,
-		Query: rosemarylb.Query{
-			ID:     "q",
-			Kind:   rosemarylb.QueryWrite,
-			Writes: true,
-		},
-	})
+	h.receive(1, rosemarylb.QueryWrite)
 	direct := 0
 	for end := h.now.Add(openStallThreshold + 50*time.Millisecond); h.now.Before(end); h.now = h.now.Add(5 * time.Millisecond) {
 		h.proxy.Tick(h.now)
@@ -356,14 +349,7 @@
 func TestRelaySessionIsRejectedWithoutConnection(t *testing.T) {
 	h := newHarness(t)
 	h.proxy.relayPort = h
-	h.handle(QueryReceived{
-		Session: 1,
-		Query: rosemarylb.Query{
-			ID:     "q",
-			Kind:   rosemarylb.QueryWrite,
-			Writes: true,
-		},
-	})
+	h.receive(1, rosemarylb.QueryWrite)
 	h.rejectConnections(rosemarylb.ReplyConnectionLimit)
 	h.relayQuery(20, "e1", rosemarylb.QueryWrite)
 	h.wantAnswer(20, rosemarylb.ReplyBusy, none)
@@ -391,14 +377,7 @@
 	h.proxy.relayPort = h
 	h.proxy.address = "peer0"
 	h.setPeers(4, 4)
-	h.handle(QueryReceived{
-		Session: 1,
-		Query: rosemarylb.Query{
-			ID:     "q",
-			Kind:   rosemarylb.QueryWrite,
-			Writes: true,
-		},
-	})
+	h.receive(1, rosemarylb.QueryWrite)
 	h.rejectConnections(rosemarylb.ReplyConnectionLimit)
 	tried := map[string]bool{}
 	for end := h.now.Add(100 * time.Millisecond); h.now.Before(end) && len(h.sent) == 0; h.now = h.now.Add(5 * time.Millisecond) {
