--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -39,7 +39,7 @@
 	f.Add(request)
 	f.Add(reply)
 	now := time.Unix(1000, 0)
-	f.Fuzz(func(t *testing.T, message []byte) {
+	f.Fuzz(func(_ *testing.T, message []byte) {
 		var asked link.PermitRequest
 		if proto.Unmarshal(message, &asked) == nil {
 			k := keeper.NewKeeper("i0", 1, "a0").WithReport(decodeReport(&asked, now), now)
