--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -75,14 +75,8 @@
 	g := k.groups[name]
 	l := k.leadership(name)
 	_, listed := k.endpointSpec(name, l.Primary)
-	if changed := g.observedSince.IsZero() || listed != g.missingSince.IsZero(); changed {
-		if g.observedSince.IsZero() {
-			g.observedSince = now
-		}
-		g.missingSince = time.Time{}
-		if !listed {
-			g.missingSince = now
-		}
+	if g.observedSince.IsZero() || listed != g.missingSince.IsZero() {
+		g = g.withListing(listed, now)
 		k = k.withGroup(name, g)
 	}
 	switch {
--- a/internal/failover/keeper/fleet.go
+++ b/internal/failover/keeper/fleet.go
@@ -1,9 +1,9 @@
 package keeper
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
-	"strings"
 	"time"
 
 	"rosemarylb"
@@ -48,7 +48,7 @@
 	slices.SortStableFunc(k.fleet.byCapacity, func(x, y rosemarylb.InstanceID) int {
 		first, _ := k.members.get(x)
 		second, _ := k.members.get(y)
-		return second.capacity - first.capacity
+		return cmp.Compare(second.capacity, first.capacity)
 	})
 	k.fleet.storeWatchers = k.chooseStoreWatchers()
 	var peers []rosemarylb.RelayPeer
@@ -74,14 +74,7 @@
 		}
 	}
 	slices.SortFunc(others, func(x, y rosemarylb.InstanceID) int {
-		switch {
-		case hashes[x] < hashes[y]:
-			return -1
-		case hashes[x] > hashes[y]:
-			return 1
-		default:
-			return strings.Compare(string(x), string(y))
-		}
+		return cmp.Or(cmp.Compare(hashes[x], hashes[y]), cmp.Compare(x, y))
 	})
 	return others[:min(len(others), storeWatcherCount)]
 }
--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -85,6 +85,21 @@
 	return g
 }
 
+// withListing records whether the primary is listed, and begins to observe a new
+// group.
+func (g groupState) withListing(listed bool, now time.Time) groupState {
+	if g.observedSince.IsZero() {
+		g.observedSince = now
+	}
+	switch {
+	case listed:
+		g.missingSince = time.Time{}
+	case g.missingSince.IsZero():
+		g.missingSince = now
+	}
+	return g
+}
+
 func (k Keeper) withGroup(name rosemarylb.DatabaseName, g groupState) Keeper {
 	k.groups = maps.Clone(k.groups)
 	if k.groups == nil {
--- a/internal/failover/keeper/peers.go
+++ b/internal/failover/keeper/peers.go
@@ -27,7 +27,6 @@
 
 // peerChange is the difference between a version of a list and the one before it.
 type peerChange struct {
-	version uint64
 	added   []rosemarylb.RelayPeer
 	removed []string
 }
@@ -47,14 +46,12 @@
 // withPeers returns the list with the given instances, in a version of the holder
 // with the given token. It is the same list if nothing has changed.
 func (l PeerList) withPeers(peers []rosemarylb.RelayPeer, token uint64) PeerList {
-	if base := token << peerVersionBits; l.version>>peerVersionBits != token || l.version == 0 {
+	if l.version == 0 || l.version>>peerVersionBits != token {
 		l = PeerList{
-			version: base,
+			version: token << peerVersionBits,
 		}
 	}
-	change := peerChange{
-		version: l.version + 1,
-	}
+	var change peerChange
 	next := make(map[string]rosemarylb.RelayPeer, len(peers))
 	for _, p := range peers {
 		next[p.Address] = p
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -47,9 +47,6 @@
 			chosen[id] = m.address
 		}
 	}
-	if len(chosen) >= min(maxWitnesses, k.members.count()) {
-		return chosen
-	}
 	for _, id := range k.fleet.byCapacity {
 		if len(chosen) >= maxWitnesses {
 			break
--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -49,7 +49,7 @@
 	for _, char := range ep.spec.ID {
 		offset += int(char)
 	}
-	connections := ep.spec.Connections - reservedConnections
+	connections := ep.usableConnections()
 	near := p.peersInRegion(ep.spec.Region)
 	if near == 0 || 2*len(p.peers) < p.share.Members {
 		if connections < p.share.Members {
@@ -93,7 +93,7 @@
 // that the endpoint may be unreachable from this instance.
 func (ep *endpointPool) openStalled(now time.Time) bool {
 	for _, c := range ep.connections {
-		if c.state == connectionOpening && !c.relayed && now.After(c.expiresAt.Add(openStallThreshold-openTimeout)) {
+		if c.state == connectionOpening && !c.isRelayed() && now.After(c.expiresAt.Add(openStallThreshold-openTimeout)) {
 			return true
 		}
 	}
@@ -116,7 +116,6 @@
 		id:        rosemarylb.ConnectionID(p.lastID),
 		pool:      ep,
 		state:     connectionOpening,
-		relayed:   spec.Via != "",
 		via:       spec.Via,
 		expiresAt: now.Add(openTimeout),
 		prepared:  map[string]struct{}{},
@@ -146,7 +145,7 @@
 	c.current = nil
 	c.session = nil
 	ep := c.pool
-	if ep.removed || ep.spec.Leaving || c.closing || !c.relayed && ep.directCount() > p.connectionLimit(ep) ||
+	if ep.removed || ep.spec.Leaving || c.closing || !c.isRelayed() && ep.directCount() > p.connectionLimit(ep) ||
 		len(c.prepared) > maxPreparedStatements {
 		p.closeConnection(c, now)
 	}
@@ -166,7 +165,7 @@
 	q := rosemarylb.Query{
 		Kind: rosemarylb.QueryRollback,
 	}
-	if c.relayed {
+	if c.isRelayed() {
 		q = q.WithRankAndTimeout(rosemarylb.RankUrgent, rollbackTimeout.Milliseconds())
 	}
 	p.endpointPort.Send(c.id, q)
@@ -208,7 +207,7 @@
 	p.log.Info("connection lost", "endpoint", ep.spec.ID, "connection", c.id, "state", c.state.String(),
 		"code", e.Code.String())
 	switch {
-	case c.relayed:
+	case c.isRelayed():
 		ep.handleRelayLost(c, e.Code, now)
 	case e.Code == rosemarylb.ReplyConnectionLimit:
 		ep.softLimit = max(ep.directCount(), 1)
@@ -254,7 +253,7 @@
 			p.log.Info("transaction ended", "session", s.state.ID(), "reason", "idle", "endpoint", c.pool.spec.ID)
 			p.rollBack(c, now)
 		case connectionIdle:
-			if c.relayed || c.pool.directCount() > 1 {
+			if c.isRelayed() || c.pool.directCount() > 1 {
 				p.closeConnection(c, now)
 			}
 		case connectionOpening, connectionRollingBack:
--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -69,7 +69,7 @@
 func (p *Proxy) sendStep(pq *pendingQuery, now time.Time) {
 	q := pq.steps[0]
 	timeoutMillis := int64(0)
-	if pq.connection.relayed {
+	if pq.connection.isRelayed() {
 		timeoutMillis = max(pq.deadline.Sub(now).Milliseconds(), 1)
 	}
 	q = q.WithRankAndTimeout(pq.route.Rank, timeoutMillis)
--- a/internal/traffic/proxy/outcome.go
+++ b/internal/traffic/proxy/outcome.go
@@ -25,7 +25,7 @@
 func (p *Proxy) slotCount(g *group, primary bool, now time.Time) int {
 	n := 0
 	for _, ep := range g.pools {
-		if primary && ep.spec.ID != g.permit.Primary || !p.acceptsReads(ep, now) || now.Before(ep.laggingUntil) {
+		if !p.mayRun(ep, primary, now) || now.Before(ep.laggingUntil) {
 			continue
 		}
 		n += min(p.connectionLimit(ep), max(ep.spec.Slots, 1))
@@ -254,7 +254,7 @@
 func (p *Proxy) closeTimedOut(c *connection, now time.Time) {
 	pq := c.current
 	p.endpointPort.Close(c.id)
-	if !c.relayed {
+	if !c.isRelayed() {
 		p.recordFailure(c.pool, now)
 	}
 	p.removeConnection(c)
--- a/internal/traffic/proxy/owner.go
+++ b/internal/traffic/proxy/owner.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -51,7 +52,7 @@
 // among the instances of its region, so that all instances agree on them, and few
 // change when an instance comes or goes.
 func (p *Proxy) owners(ep *endpointPool) endpointOwners {
-	connections := ep.spec.Connections - reservedConnections
+	connections := ep.usableConnections()
 	if ep.owners.peersRevision == p.peersRevision && ep.owners.connections == connections {
 		return ep.owners
 	}
@@ -65,14 +66,7 @@
 		weights[peer.Address] = placement.Weight(rosemarylb.InstanceID(peer.Address), string(ep.spec.ID))
 	}
 	slices.SortFunc(near, func(x, y string) int {
-		switch {
-		case weights[x] > weights[y]:
-			return -1
-		case weights[x] < weights[y]:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(weights[y], weights[x])
 	})
 	near = near[:min(len(near), ownerCount(connections))]
 	ep.owners = endpointOwners{
@@ -96,7 +90,7 @@
 // number of owners are expected.
 func (p *Proxy) provisionalConnections(ep *endpointPool) int {
 	weight := placement.Weight(rosemarylb.InstanceID(p.address), string(ep.spec.ID))
-	expected := ownerCount(ep.spec.Connections-reservedConnections) * 3 / 4
+	expected := ownerCount(ep.usableConnections()) * 3 / 4
 	if weight < math.MaxUint64/uint64(p.share.Members)*uint64(expected) {
 		return 1
 	}
@@ -107,7 +101,7 @@
 // endpoint through which a relay connection may be opened: its owners, if there is
 // less than one connection for each instance of the region.
 func (p *Proxy) relayCandidates(ep *endpointPool) []string {
-	if ep.spec.Connections-reservedConnections < p.peersInRegion(ep.spec.Region) {
+	if ep.usableConnections() < p.peersInRegion(ep.spec.Region) {
 		return p.owners(ep).addresses
 	}
 	var near []string
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -86,6 +86,12 @@
 	return !ep.removed && !ep.spec.Leaving && !now.Before(ep.avoidUntil)
 }
 
+// mayRun reports whether an endpoint may run a query of its group now: any that
+// accepts reads, or the primary alone.
+func (p *Proxy) mayRun(ep *endpointPool, needsPrimary bool, now time.Time) bool {
+	return p.acceptsReads(ep, now) && (!needsPrimary || ep.spec.ID == ep.group.permit.Primary)
+}
+
 // chooseReadEndpoint returns the available endpoint with the lowest read cost
 // that may serve a read, nil if there is none.
 func (p *Proxy) chooseReadEndpoint(g *group, pq *pendingQuery, now time.Time) *endpointPool {
@@ -177,7 +183,7 @@
 // settings of the session, one without settings, one that needs a reset, a
 // relay.
 func (c *connection) affinity(pq *pendingQuery) int {
-	if c.relayed {
+	if c.isRelayed() {
 		return -1
 	}
 	switch c.settingsKey {
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -134,15 +134,11 @@
 // isConnected reports whether this instance may use the primary of a group and has
 // a connection to an endpoint that may run a query.
 func (p *Proxy) isConnected(g *group, needsPrimary bool, now time.Time) bool {
-	primary := p.primary(g, now)
-	if primary == nil {
+	if p.primary(g, now) == nil {
 		return false
 	}
 	for _, ep := range g.pools {
-		if needsPrimary && ep != primary || !p.acceptsReads(ep, now) {
-			continue
-		}
-		if len(ep.connections) > ep.count(connectionOpening) {
+		if p.mayRun(ep, needsPrimary, now) && len(ep.connections) > ep.count(connectionOpening) {
 			return true
 		}
 	}
@@ -161,7 +157,7 @@
 func (p *Proxy) connectionsExhausted(g *group, needsPrimary bool, now time.Time) bool {
 	exhausted := false
 	for _, ep := range g.pools {
-		if needsPrimary && ep.spec.ID != g.permit.Primary || !p.acceptsReads(ep, now) {
+		if !p.mayRun(ep, needsPrimary, now) {
 			continue
 		}
 		if !now.Before(ep.softLimitUntil) {
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -115,7 +115,7 @@
 // canUse reports whether a query may run on a connection: relayed queries use
 // direct connections only.
 func (pq *pendingQuery) canUse(c *connection) bool {
-	return !c.relayed || pq.session.relayEndpoint == ""
+	return !c.isRelayed() || pq.session.relayEndpoint == ""
 }
 
 // targetsOtherPrimary reports whether the query was relayed for a primary other
@@ -168,7 +168,7 @@
 		return false
 	}
 	for _, c := range ep.connections {
-		if !c.relayed && c.state != connectionOpening && !c.closing {
+		if !c.isRelayed() && c.state != connectionOpening && !c.closing {
 			return true
 		}
 	}
@@ -199,7 +199,7 @@
 		return
 	}
 	for _, c := range ep.connections {
-		if !c.relayed {
+		if !c.isRelayed() {
 			continue
 		}
 		c.closing = true
@@ -213,7 +213,7 @@
 func (ep *endpointPool) relayCount() int {
 	n := 0
 	for _, c := range ep.connections {
-		if c.relayed {
+		if c.isRelayed() {
 			n++
 		}
 	}
@@ -225,7 +225,7 @@
 func (ep *endpointPool) openingRelayCount() int {
 	n := 0
 	for _, c := range ep.connections {
-		if c.relayed && c.state == connectionOpening {
+		if c.isRelayed() && c.state == connectionOpening {
 			n++
 		}
 	}
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -105,10 +105,14 @@
 	prepared    map[string]struct{}
 	term        rosemarylb.Term
 	closing     bool
-	// relayed reports whether the connection goes through another instance, at
-	// the address via.
-	relayed bool
-	via     string
+	// via is the address of the instance that the connection goes through, empty
+	// for a direct connection.
+	via string
+}
+
+// isRelayed reports whether the connection goes through another instance.
+func (c *connection) isRelayed() bool {
+	return c.via != ""
 }
 
 // endpointPool is an endpoint and the connections to it.
@@ -131,6 +135,12 @@
 	relayRejectedUntil map[string]time.Time
 }
 
+// usableConnections returns how many connections to the endpoint the instances
+// share: all but those reserved for the keeper.
+func (ep *endpointPool) usableConnections() int {
+	return ep.spec.Connections - reservedConnections
+}
+
 func (ep *endpointPool) count(s connectionState) int {
 	n := 0
 	for _, c := range ep.connections {
