--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"maps"
 	"time"
 
 	"rosemarylb"
@@ -77,11 +76,7 @@
 }
 
 func (g groupState) withState(id rosemarylb.EndpointID, s endpointState) groupState {
-	g.states = maps.Clone(g.states)
-	if g.states == nil {
-		g.states = map[rosemarylb.EndpointID]endpointState{}
-	}
-	g.states[id] = s
+	g.states = withEntry(g.states, id, s)
 	return g
 }
 
@@ -101,11 +96,7 @@
 }
 
 func (k Keeper) withGroup(name rosemarylb.DatabaseName, g groupState) Keeper {
-	k.groups = maps.Clone(k.groups)
-	if k.groups == nil {
-		k.groups = map[rosemarylb.DatabaseName]groupState{}
-	}
-	k.groups[name] = g
+	k.groups = withEntry(k.groups, name, g)
 	return k
 }
 
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -68,14 +68,19 @@
 
 // WithLeadership sets the primary of a group.
 func (r Record) WithLeadership(name rosemarylb.DatabaseName, l Leadership) Record {
-	r.Groups = maps.Clone(r.Groups)
-	if r.Groups == nil {
-		r.Groups = map[rosemarylb.DatabaseName]Leadership{}
-	}
-	r.Groups[name] = l
+	r.Groups = withEntry(r.Groups, name, l)
 	return r
 }
 
+// withEntry returns a copy of a map in which the key has the value. The map may be
+// nil.
+func withEntry[K comparable, V any](m map[K]V, key K, value V) map[K]V {
+	next := make(map[K]V, len(m)+1)
+	maps.Copy(next, m)
+	next[key] = value
+	return next
+}
+
 // WithMembers sets the number of instances.
 func (r Record) WithMembers(n int) Record {
 	r.Members = n
