--- a/review/standin/stop_test.go
+++ b/review/standin/stop_test.go
@@ -31,8 +31,8 @@
 	machine *machine
 }
 
-// stopUnderLoad stops all machines in turn, while clients send one read after the
-// other on sessions that they keep open.
+// stopUnderLoad stops machines in turn, while clients send one read after the other
+// on sessions that they keep open.
 func stopUnderLoad(folder string, trouble bool) (bool, error) {
 	d, err := newDeployment(shape{
 		machines:      8,
@@ -97,6 +97,7 @@
 		m := d.machines[target%len(d.machines)]
 		target++
 		if !m.takesConnections() {
+			time.Sleep(linkDelay)
 			continue
 		}
 		s, err := connect(m, database)
