--- a/review/standin/deployment_test.go
+++ b/review/standin/deployment_test.go
@@ -322,6 +322,19 @@
 	b.server.Stop()
 }
 
+// restart starts a backend again after a crash, with its log.
+func (d *deployment) restart(b *backend) error {
+	if err := b.server.Restart(); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b.stopped = time.Time{}
+	b.born = time.Now().UnixMilli()
+	d.register(b)
+	return nil
+}
+
 // primaryOf returns the backend that leads a group.
 func (d *deployment) primaryOf(group string) *backend {
 	id, _ := d.groups[group].Leader()
@@ -384,7 +397,7 @@
 			d.mu.Lock()
 			d.lastWriter = m
 			d.mu.Unlock()
-			d.notef("store: %s %s by %s", r.Method, r.URL.Path, m.name)
+			d.notef("store: %s %s by %s", r.Method, strings.TrimPrefix(r.URL.Path, "/"), m.name)
 		}
 		view.ServeHTTP(w, r)
 	}))
--- a/review/standin/freeze_test.go
+++ b/review/standin/freeze_test.go
@@ -13,12 +13,15 @@
 )
 
 const (
-	// cloudOutage is how long the promotion API is down: for_s of platform_down.
-	cloudOutage = 4500 * time.Millisecond
+	// cloudOutage is how long the promotion API is down: for_s of platform_down is
+	// 4.5 s.
+	cloudOutage = 4400 * time.Millisecond
 	// freezeDelay is the time from the start of the outage to the freeze.
 	freezeDelay = 2200 * time.Millisecond
-	// freezeTime is for_s of node_freeze.
-	freezeTime = 4 * time.Second
+	// freezeTime is how long the machine is frozen: for_s of node_freeze is 4 s.
+	freezeTime = 3900 * time.Millisecond
+	// crashTime is how long a primary is down: for_s of srv_crash is 7 s.
+	crashTime = 6900 * time.Millisecond
 )
 
 // thawSlack is thaw_slack_ms of the sheets.
@@ -65,6 +68,9 @@
 			b := d.primaryOf(g)
 			d.notef("%s, the primary of %s, crashes", b.server.ID(), g)
 			d.crash(b)
+			time.AfterFunc(crashTime, func() {
+				d.notef("%s starts again: %v", b.server.ID(), d.restart(b))
+			})
 		}
 		time.Sleep(freezeDelay)
 		frozen = d.holder()
