Review, case 2: note requests on sessions that had just been closed

Change: record.txt also names requests that met a session closed as idle; they don't count, as before.

--- a/review/standin/stop_test.go
+++ b/review/standin/stop_test.go
@@ -109,6 +109,7 @@
 			a := s.do(fmt.Sprintf("READ item%d", number), clientDeadline)
 			if a.code == "" && isIdleClose(a) {
 				// The machine closed the session before it got the request.
+				d.noteAnswer(m, a)
 				break
 			}
 			d.noteAnswer(m, a)
