End the lease before its release is written

Cause: a holder that shuts down went on granting permits until the store had confirmed the release of its lease. The release may take effect while its answer is lost; the next holder then acts at once, as it takes a released lease as proof that nobody grants permits. For up to 1.5 s one group of instances used the new primary and the other the old one.

Change: the lease ends for its holder before the release is sent. It reports the released token from then on, and writes the release again until the record shows it; a shutdown waits for that. Yielding the lease uses the same function. A line `lease release stored` tells the end of the lease from the confirmation.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -280,8 +280,7 @@
 		k = k.withoutLease("expired")
 	}
 	if k.shouldYield(now) {
-		k.releasedToken = k.record.Token
-		k = k.withoutLease("yielded, as the store answers others")
+		k = k.withOwnLeaseReleased("yielded, as the store answers others")
 	}
 	k = k.withFleetSummary(now)
 	k = k.withWitnessCheck(now)
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -44,7 +44,10 @@
 	k.revision = revision
 	k.recordSeenAt = now
 	if k.record.Holder == "" {
-		return k.withoutLease("given back")
+		return k.withLogEvent(LogEvent{
+			Event:  "lease release stored",
+			Reason: "given back",
+		})
 	}
 	return k.withLeaseConfirmed(now)
 }
@@ -146,14 +149,14 @@
 
 // nextRecord returns the record to write, or false when no write is due.
 func (k Keeper) nextRecord(now time.Time) (Keeper, Record, bool) {
+	if k.shuttingDown {
+		return k.nextRelease()
+	}
 	if !k.holdsLease {
 		k.cleanTakeover = k.leaseReleased()
 		k = k.withAvailability(now)
 		return k, k.record.WithHolder(k.self, k.process, k.address), k.mayTakeLease(now)
 	}
-	if k.shuttingDown {
-		return k, k.record.WithoutHolder(), !k.promotionPending()
-	}
 	next := k.record
 	if now.After(k.membersSince.Add(memberTimeout)) {
 		next = next.WithMembers(k.members.count()).WithWitnesses(k.nextWitnesses())
@@ -175,6 +178,24 @@
 	return k, next, changed || !now.Before(k.renewAt)
 }
 
+// nextRelease returns the record without its holder, or false when this process has no
+// lease to release. The lease ends before that record is written, not when the store
+// has confirmed it: the write may take effect without an answer, and its successor
+// acts at once then.
+func (k Keeper) nextRelease() (Keeper, Record, bool) {
+	if k.holdsLease && !k.promotionPending() {
+		k = k.withOwnLeaseReleased("given back")
+	}
+	return k, k.record.WithoutHolder(), k.ReleasedToken() != 0
+}
+
+// withOwnLeaseReleased ends this instance's lease before it expires. Other instances
+// learn from ReleasedToken that they may take it.
+func (k Keeper) withOwnLeaseReleased(reason string) Keeper {
+	k.releasedToken = k.record.Token
+	return k.withoutLease(reason)
+}
+
 // leaseAvailable reports whether this instance may take the lease: it was never
 // held or was released, its holder was an earlier process of this instance or was
 // deposed, or it has expired.
@@ -227,7 +248,7 @@
 	return k
 }
 
-// ReleasedToken returns the token of the lease that this instance has yielded while the
+// ReleasedToken returns the token of the lease that this process has released while the
 // record still names it as the holder, 0 for none.
 func (k Keeper) ReleasedToken() uint64 {
 	if k.holdsLease || k.record.Holder != k.self || k.record.Process != k.process || k.releasedToken != k.record.Token {
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -24,14 +24,16 @@
 	modelDuration  = 45 * time.Second
 	modelGroup     = rosemarylb.DatabaseName("g")
 	modelInstances = 5
+	// modelStopTime is how long a process runs on after a planned stop has begun.
+	modelStopTime = 4 * time.Second
 )
 
 // TestNoCommitAtAReplacedPrimaryAndNoStaleRead simulates keepers, instances, a store
-// and endpoints under random faults: pauses, kills, network partitions, lost and late
-// answers, and outages of the store. Instances commit and read at the primary that
-// they hold a permit for. A commit acknowledged by a replaced primary, a read that
-// misses an acknowledged commit, two holders of one token or a token that decreases
-// fails the test.
+// and endpoints under random faults: pauses, kills, planned stops, network partitions,
+// lost and late answers, and outages of the store. Instances commit and read at the primary that
+// they hold a permit for. Permits for two primaries at the same time, a commit
+// acknowledged by a replaced primary, a read that misses an acknowledged commit, two
+// holders of one token or a token that decreases fails the test.
 func TestNoCommitAtAReplacedPrimaryAndNoStaleRead(t *testing.T) {
 	promotions, commits, holders := 0, 0, 0
 	for seed := *modelSeed; seed < *modelSeed+uint64(*modelCount); seed++ {
@@ -80,21 +82,25 @@
 // simulatedInstance is an instance with its keeper and its permit. Its callbacks run
 // at its next step.
 type simulatedInstance struct {
-	id               rosemarylb.InstanceID
-	process          uint64
-	keeper           keeper.Keeper
-	witness          *Witness
-	permit           rosemarylb.Permit
-	pausedUntil      time.Time
-	downUntil        time.Time
-	storeCutUntil    time.Time
-	instanceCutUntil map[rosemarylb.InstanceID]time.Time
-	endpointCutUntil map[rosemarylb.EndpointID]time.Time
-	nextRequestAt    time.Time
-	nextOperationAt  time.Time
-	nextDeposeAt     time.Time
-	storeAnsweredAt  time.Time
-	callbacks        []func()
+	id            rosemarylb.InstanceID
+	process       uint64
+	keeper        keeper.Keeper
+	witness       *Witness
+	permit        rosemarylb.Permit
+	pausedUntil   time.Time
+	downUntil     time.Time
+	storeCutUntil time.Time
+	// storeAnswersCutUntil is until when the instance's writes take effect but their
+	// answers are lost.
+	storeAnswersCutUntil time.Time
+	instanceCutUntil     map[rosemarylb.InstanceID]time.Time
+	endpointCutUntil     map[rosemarylb.EndpointID]time.Time
+	nextRequestAt        time.Time
+	nextOperationAt      time.Time
+	nextDeposeAt         time.Time
+	storeAnsweredAt      time.Time
+	notification         keeper.Notification
+	callbacks            []func()
 }
 
 // simulatedEndpoint is an endpoint; its log lists the numbers of commits.
@@ -102,6 +108,7 @@
 	id                  rosemarylb.EndpointID
 	primary             bool
 	term                rosemarylb.Term
+	leaving             bool
 	log                 []int
 	downUntil           time.Time
 	replicationCutUntil time.Time
@@ -114,17 +121,11 @@
 		acknowledged:  map[int]bool{},
 		holderByToken: map[uint64]rosemarylb.InstanceID{},
 	}
-	var specs []rosemarylb.EndpointSpec
 	for i := range 3 {
-		endpoint := &simulatedEndpoint{
+		s.endpoints = append(s.endpoints, &simulatedEndpoint{
 			id:      rosemarylb.EndpointID("e" + strconv.Itoa(i)),
 			primary: i == 0,
 			term:    1,
-		}
-		s.endpoints = append(s.endpoints, endpoint)
-		specs = append(specs, rosemarylb.EndpointSpec{
-			ID:       endpoint.id,
-			Database: modelGroup,
 		})
 	}
 	for i := range modelInstances {
@@ -132,17 +133,32 @@
 			id: rosemarylb.InstanceID("i" + strconv.Itoa(i)),
 		}
 		s.instances = append(s.instances, instance)
-		s.startProcess(instance, specs)
+		s.startProcess(instance)
 	}
 	return s
 }
 
+// endpointSpecs returns the endpoints as they are registered.
+func (s *simulation) endpointSpecs() []rosemarylb.EndpointSpec {
+	var specs []rosemarylb.EndpointSpec
+	for _, endpoint := range s.endpoints {
+		specs = append(specs, rosemarylb.EndpointSpec{
+			ID:       endpoint.id,
+			Database: modelGroup,
+			Leaving:  endpoint.leaving,
+		})
+	}
+	return specs
+}
+
 // startProcess replaces an instance's process by one without any state.
-func (s *simulation) startProcess(instance *simulatedInstance, specs []rosemarylb.EndpointSpec) {
+func (s *simulation) startProcess(instance *simulatedInstance) {
 	instance.process = s.random.Uint64()
-	instance.keeper = keeper.NewKeeper(instance.id, instance.process, string(instance.id)).WithEndpoints(specs)
+	instance.keeper = keeper.NewKeeper(instance.id, instance.process, string(instance.id)).
+		WithEndpoints(s.endpointSpecs())
 	instance.witness = &Witness{}
 	instance.permit = rosemarylb.Permit{}
+	instance.notification = keeper.Notification{}
 	instance.callbacks = nil
 	instance.instanceCutUntil = map[rosemarylb.InstanceID]time.Time{}
 	instance.endpointCutUntil = map[rosemarylb.EndpointID]time.Time{}
@@ -185,16 +201,9 @@
 
 func (s *simulation) run() {
 	end := s.now.Add(modelDuration)
-	specs := []rosemarylb.EndpointSpec{}
-	for _, endpoint := range s.endpoints {
-		specs = append(specs, rosemarylb.EndpointSpec{
-			ID:       endpoint.id,
-			Database: modelGroup,
-		})
-	}
 	for s.now.Before(end) && len(s.violations) == 0 {
 		s.now = s.now.Add(modelStep)
-		s.injectFault(specs)
+		s.injectFault()
 		s.replicate()
 		due := s.scheduled
 		s.scheduled = nil
@@ -208,12 +217,30 @@
 		for _, instance := range s.instances {
 			s.step(instance)
 		}
+		s.checkPermits()
+	}
+}
+
+// checkPermits checks that all valid permits name the same primary and term. Otherwise
+// one instance commits at the new primary while another reads from the old one.
+func (s *simulation) checkPermits() {
+	var valid rosemarylb.Permit
+	for _, instance := range s.instances {
+		p := instance.permit
+		if !p.ValidFor(p.Term, s.now) {
+			continue
+		}
+		if valid.Primary != "" && (p.Primary != valid.Primary || p.Term != valid.Term) {
+			s.reportViolation("permits for " + string(valid.Primary) + " and " + string(p.Primary) + " at the same time")
+			return
+		}
+		valid = p
 	}
 }
 
 // injectFault starts a random fault in one of 40 steps on average. Half of the faults
 // of instances hit the holder of the lease.
-func (s *simulation) injectFault(specs []rosemarylb.EndpointSpec) {
+func (s *simulation) injectFault() {
 	if s.random.IntN(40) != 0 {
 		return
 	}
@@ -223,14 +250,14 @@
 	}
 	endpoint := s.endpoints[s.random.IntN(len(s.endpoints))]
 	duration := time.Duration(s.random.Int64N(int64(6 * time.Second)))
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		s.logEvent(string(instance.id) + " paused for " + duration.String())
 		instance.pausedUntil = s.now.Add(duration)
 	case 1:
 		s.logEvent(string(instance.id) + " killed")
 		instance.downUntil = s.now.Add(duration / 4)
-		s.startProcess(instance, specs)
+		s.startProcess(instance)
 	case 2, 3:
 		s.logEvent(string(instance.id) + " without store for " + duration.String())
 		instance.storeCutUntil = s.now.Add(duration)
@@ -248,6 +275,53 @@
 		if s.random.IntN(3) == 0 {
 			s.storeDownUntil = s.now.Add(duration)
 		}
+	case 9:
+		s.logEvent(string(instance.id) + " stops")
+		s.stop(instance)
+		if s.random.IntN(2) == 0 {
+			s.logEvent(string(instance.id) + " without answers of the store for " + duration.String())
+			instance.storeAnswersCutUntil = s.now.Add(duration)
+		}
+		if s.random.IntN(2) == 0 {
+			s.replacePrimary(duration)
+		}
+	}
+}
+
+// stop lets an instance release its lease, and replaces its process modelStopTime later.
+func (s *simulation) stop(instance *simulatedInstance) {
+	process := instance.process
+	instance.keeper = instance.keeper.WithShutdown()
+	s.scheduled = append(s.scheduled, scheduledCall{
+		at: s.now.Add(modelStopTime),
+		run: func() {
+			if instance.process == process {
+				s.startProcess(instance)
+			}
+		},
+	})
+}
+
+// replacePrimary marks the primary as leaving for a time, so that a live primary is
+// replaced.
+func (s *simulation) replacePrimary(duration time.Duration) {
+	leaving := s.latestPrimary()
+	s.logEvent(string(leaving.id) + " is leaving for " + duration.String())
+	leaving.leaving = true
+	s.registerEndpoints()
+	s.scheduled = append(s.scheduled, scheduledCall{
+		at: s.now.Add(duration),
+		run: func() {
+			leaving.leaving = false
+			s.registerEndpoints()
+		},
+	})
+}
+
+// registerEndpoints makes the endpoints' registrations known to all keepers.
+func (s *simulation) registerEndpoints() {
+	for _, instance := range s.instances {
+		instance.keeper = instance.keeper.WithEndpoints(s.endpointSpecs())
 	}
 }
 
@@ -358,7 +432,7 @@
 func (s *simulation) writeRecord(instance *simulatedInstance, write keeper.Write) {
 	onInstance := callbackRunner(instance)
 	unanswered := func() {
-		s.schedule(time.Second, func() {
+		s.schedule(storeTimeout, func() {
 			onInstance(func() { instance.keeper = instance.keeper.WithWriteUnanswered(s.now) })
 		})
 	}
@@ -371,7 +445,7 @@
 	}
 	s.schedule(60*time.Millisecond, func() {
 		applied := s.applyWrite(write)
-		if s.random.IntN(12) == 0 {
+		if s.now.Before(instance.storeAnswersCutUntil) || s.random.IntN(12) == 0 {
 			unanswered()
 			return
 		}
@@ -404,7 +478,7 @@
 	instance *simulatedInstance, onRecord func(keeper.Record, uint64), onFailure func(),
 ) {
 	onInstance := callbackRunner(instance)
-	if !s.storeReachable(instance) {
+	if !s.storeReachable(instance) || s.now.Before(instance.storeAnswersCutUntil) {
 		s.schedule(time.Second, func() { onInstance(onFailure) })
 		return
 	}
@@ -497,18 +571,23 @@
 	})
 }
 
-// requestPermit requests a permit from the lease holder. It also reads the record,
-// which grants permits while the holder is silent.
+// requestPermit requests a permit from the lease holder. An instance that the holder
+// does not notify also reads the record, which grants permits while the holder is
+// silent.
 func (s *simulation) requestPermit(instance *simulatedInstance) {
 	onInstance := callbackRunner(instance)
 	requestedAt := s.now
-	s.readRecord(instance, func(record keeper.Record, revision uint64) {
-		instance.keeper = instance.keeper.WithRecord(record, revision, s.now)
-		if instance.witness.HolderSilence(s.now) > 250*time.Millisecond {
-			s.adoptPermits(instance, permit.FromRecord(record, requestedAt))
-		}
-		s.depose(instance, record)
-	}, func() {})
+	if instance.notification.ReplacesWatch(s.now) {
+		instance.keeper = instance.keeper.WithLeaseNotification(s.now)
+	} else {
+		s.readRecord(instance, func(record keeper.Record, revision uint64) {
+			instance.keeper = instance.keeper.WithRecord(record, revision, s.now)
+			if instance.witness.HolderSilence(s.now) > 250*time.Millisecond {
+				s.adoptPermits(instance, permit.FromRecord(record, requestedAt))
+			}
+			s.depose(instance, record)
+		}, func() {})
+	}
 	record := instance.keeper.Record()
 	if record.Holder == "" || !instance.witness.Accepts(record.Token) {
 		return
@@ -532,6 +611,8 @@
 			holder.keeper = holder.keeper.WithReport(report, s.now)
 			grants, holds := holder.keeper.Grants(s.now)
 			released := holder.keeper.ReleasedToken()
+			notifies := holder.keeper.Notifies(instance.id, s.now)
+			watchesStore := holder.keeper.WatchesStore(instance.id)
 			s.schedule(80*time.Millisecond, func() {
 				onInstance(func() {
 					if released != 0 {
@@ -539,6 +620,12 @@
 					}
 					if holds && instance.witness.ObserveAnswer(record.Token, requestedAt) {
 						s.adoptPermits(instance, permit.FromGrants(grants, requestedAt))
+						if notifies {
+							instance.notification = keeper.Notification{
+								RequestedAt:  requestedAt,
+								WatchesStore: watchesStore,
+							}
+						}
 					}
 				})
 			})
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -94,8 +94,9 @@
 	return r.witness
 }
 
-// NotHolding is true while this instance does not hold the lease, and false until the
-// first decision. A shutdown waits for it after RetireRequested.
+// NotHolding is true while this process neither holds the lease nor has to store its
+// release, and false until the first decision. A shutdown waits for it after
+// RetireRequested.
 func (r *Runner) NotHolding() *duty.Latest[bool] {
 	return r.notHolding
 }
@@ -312,5 +313,5 @@
 	for _, query := range decision.Queries {
 		r.probes.query(query, now)
 	}
-	r.notHolding.Store(!r.keeper.HoldsLease())
+	r.notHolding.Store(!r.keeper.HoldsLease() && r.keeper.ReleasedToken() == 0)
 }
