Choose addresses that other sockets cannot take

Cause: tests and demos bound a port of the system's ephemeral range, closed it and handed the number to the process that was to listen on it. Meanwhile another socket took it. All three callers lose their port (platform, fleettest, demo), and so does the fleet stand-in, which had a fourth copy.

Evidence, on the code before: beside a program that keeps 12,000 listeners of port 0 and replaces them, 33 of 40 runs of TestDrainEndsWithinGracePeriod, 177 of 179 of the line demo's test and 1 of 4 of TestWriteIsReadThroughAnotherInstance failed with "address already in use". Beside 10,525 outgoing connections none of 11, 18 and 50 runs failed: it is other listeners that take the port (Linux gives them the odd ports of the range and connections the even ones first).

The host follows from the process number, so each process has its own, and the port is below the ephemeral range and given out once; a port in use is passed over.

--- a/internal/process/fleettest/fleet_test.go
+++ b/internal/process/fleettest/fleet_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 	"testing"
 	"time"
 
+	"rosemarylb/internal/standin/loopback"
+
 	"github.com/jackc/pgx/v5"
 )
 
@@ -68,14 +69,13 @@
 	basePath         string
 }
 
-func freeAddress(t testing.TB) string {
+func newAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func startProcess(t testing.TB, printsAddress bool, name string, args ...string) *process {
@@ -124,7 +124,7 @@
 	config.WriteString("limits:\n  drain: 5s\ncallers:\n  fitter:\n    rank: urgent\n")
 	config.WriteString("databases:\n  book:\n    endpoints:\n")
 	for n := range domainCount {
-		control := freeAddress(t)
+		control := newAddress(t)
 		f.controlAddresses = append(f.controlAddresses, control)
 		e := startProcess(t, true, "standin", "endpoint", "--name", fmt.Sprintf("book-%d", n), "--control", control)
 		f.endpoints = append(f.endpoints, e)
@@ -155,9 +155,9 @@
 
 func (f *fleet) startInstance(n int) {
 	i := &instance{
-		callerAddress:   freeAddress(f.t),
-		operatorAddress: freeAddress(f.t),
-		instanceAddress: freeAddress(f.t),
+		callerAddress:   newAddress(f.t),
+		operatorAddress: newAddress(f.t),
+		instanceAddress: newAddress(f.t),
 	}
 	i.process = *startProcess(f.t, false, "rosemarylb", "serve",
 		"--instance", fmt.Sprintf("i%d", n), "--domain", fmt.Sprintf("d%d", n), "--region", "hills",
--- a/internal/shell/demo/line.go
+++ b/internal/shell/demo/line.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"rosemarylb/internal/standin/line"
+	"rosemarylb/internal/standin/loopback"
 	"rosemarylb/internal/standin/objects"
 	"rosemarylb/platform"
 
@@ -94,17 +95,17 @@
 func (l *LineService) startInstance(number int, store string, log *slog.Logger) error {
 	var addresses [5]string
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := loopback.Address()
 		if err != nil {
 			return err
 		}
 		addresses[i] = address
 	}
-	_, relayPort, _ := net.SplitHostPort(addresses[3])
+	host, relayPort, _ := net.SplitHostPort(addresses[3])
 	_, metricsPort, _ := net.SplitHostPort(addresses[4])
 	relay, _ := strconv.Atoi(relayPort)
 	text, err := json.Marshal(map[string]any{
-		"node_name": "instance-" + strconv.Itoa(number), "ip": "127.0.0.1", "zone": "kandy", "region": "hills",
+		"node_name": "instance-" + strconv.Itoa(number), "ip": host, "zone": "kandy", "region": "hills",
 		"zones":        map[string]string{"kandy": "hills"},
 		"listen_addrs": map[string]string{"front": addresses[0], "ready": addresses[1], "control": addresses[2]},
 		"port_range":   []int{relay},
@@ -131,18 +132,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "free address")
-	}
-	defer func() {
-		_ = listener.Close()
-	}()
-	return listener.Addr().String(), nil
-}
-
 // RunScenario writes an item through the first instance, reads it back through
 // the last one and returns a report.
 func (l *LineService) RunScenario() (string, error) {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 	"rosemarylb/internal/peer/platform"
 	"rosemarylb/internal/process/service"
 	"rosemarylb/internal/standin/endpoint"
+	"rosemarylb/internal/standin/loopback"
 	standin "rosemarylb/internal/standin/platform"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +45,7 @@
 
 	store              rosemarylb.Store
 	document           site.Document
-	callerPorts        []int
+	callerAddresses    []string
 	instanceStops      []func()
 	cleanups           []func()
 	log                *slog.Logger
@@ -72,8 +74,8 @@
 
 // NewFleet starts the service that a document configures, with simulated
 // endpoints in place of the configured addresses. The instances listen for
-// callers on 127.0.0.1, on consecutive ports from firstPort on, or on free ports
-// if it is 0. The returned function stops the service.
+// callers on 127.0.0.1, on consecutive ports from firstPort on, or on free loopback
+// addresses if it is 0. The returned function stops the service.
 func NewFleet(document site.Document, firstPort int, options ...Option) (*Fleet, func(), error) {
 	f := &Fleet{
 		Endpoints:          map[rosemarylb.EndpointID]*endpoint.Server{},
@@ -202,7 +204,7 @@
 
 func (f *Fleet) startInstance(spec rosemarylb.EndpointSpec, ordinal int) error {
 	id := rosemarylb.InstanceID(fmt.Sprintf("proxy-%s-%d", spec.Domain, ordinal))
-	port, err := f.nextCallerPort()
+	callerAddress, err := f.nextCallerAddress()
 	if err != nil {
 		return err
 	}
@@ -210,7 +212,7 @@
 		ID:              id,
 		Domain:          spec.Domain,
 		Region:          spec.Region,
-		CallerAddress:   fmt.Sprintf("127.0.0.1:%d", port),
+		CallerAddress:   callerAddress,
 		InstanceAddress: "127.0.0.1:0",
 		OperatorAddress: "127.0.0.1:0",
 		EventLoops:      1,
@@ -221,23 +223,18 @@
 	}
 	f.instanceStops = append(f.instanceStops, stop)
 	f.Instances = append(f.Instances, i)
-	f.callerPorts = append(f.callerPorts, port)
+	f.callerAddresses = append(f.callerAddresses, callerAddress)
 	f.registerInstances()
 	return nil
 }
 
-// nextCallerPort returns the caller port of the next instance, a free one if no
-// first port is set.
-func (f *Fleet) nextCallerPort() (int, error) {
-	if f.firstCallerPort != 0 {
-		return f.firstCallerPort + len(f.Instances), nil
+// nextCallerAddress returns the host:port at which the next instance listens for
+// callers.
+func (f *Fleet) nextCallerAddress() (string, error) {
+	if f.firstCallerPort == 0 {
+		return loopback.Address()
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, errors.Wrap(err, "find a free port")
-	}
-	port := listener.Addr().(*net.TCPAddr).Port
-	return port, errors.Wrap(listener.Close(), "find a free port")
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(f.firstCallerPort+len(f.Instances))), nil
 }
 
 // registerInstances sets the list of instances that the platform serves.
@@ -264,7 +261,7 @@
 // ConnectionString returns the PostgreSQL URL at which callers connect to an
 // instance.
 func (f *Fleet) ConnectionString(instance int, user string, database rosemarylb.DatabaseName) string {
-	return fmt.Sprintf("postgres://%s@127.0.0.1:%d/%s?sslmode=disable", user, f.callerPorts[instance], database)
+	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", user, f.callerAddresses[instance], database)
 }
 
 // Connect opens a session on an instance. It retries until the instance accepts
--- a/internal/standin/line/server.go
+++ b/internal/standin/line/server.go
@@ -1,13 +1,14 @@
 package line
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"rosemarylb/internal/standin/loopback"
 )
 
 // slotLimit is the number of statements that an endpoint runs at a time,
@@ -17,13 +18,6 @@
 	queueLimit = 14
 )
 
-// randomLoopbackAddress returns a random loopback address. Outgoing connections
-// and other endpoints are unlikely to use the same one, so none of them takes the
-// port of an endpoint while it is stopped.
-func randomLoopbackAddress() string {
-	return fmt.Sprintf("127.0.%d.%d:0", 2+rand.IntN(250), 2+rand.IntN(250))
-}
-
 // ServerFaults holds the probability of each fault of an endpoint, from 0 to 1.
 type ServerFaults struct {
 	// LoseResponse closes the connection after a statement ran, without a response.
@@ -54,10 +48,14 @@
 // StartServer starts an endpoint of a group on a loopback address. The first endpoint
 // of a group is its primary.
 func StartServer(g *Group, id string) (*Server, error) {
+	address, err := loopback.Address()
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{
 		group:       g,
 		id:          id,
-		address:     randomLoopbackAddress(),
+		address:     address,
 		term:        1,
 		connections: map[net.Conn]struct{}{},
 		slots:       make(chan struct{}, slotLimit),
