Give promotions a deadline and look at it before they are sent

Cause: the keeper looks at its lease when it decides on a promotion. The thread that sends them, one call of up to a second after the other, sent what had waited behind others or behind a freeze without another look. The next holder's delay allows for one call in transit.

Change: a promotion carries the time at which it is given up, a second after its decision, on the clock that counts suspensions.

--- a/behaviour.go
+++ b/behaviour.go
@@ -328,6 +328,9 @@
 	// Token is the holder's fencing token. It increases whenever the lease
 	// changes hands.
 	Token uint64
+	// Deadline is the time, by the holder's Clock, at which the request is given up.
+	// It must not be sent later: the next holder may have sent its own by then.
+	Deadline time.Time
 }
 
 // PromotionOutcome is the result of Promoter.Promote.
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -331,6 +331,7 @@
 		Endpoint: g.failover.candidate,
 		Holder:   k.self,
 		Token:    k.record.Token,
+		Deadline: now.Add(PromotionTimeout),
 	})
 	k = k.withLogEvent(LogEvent{
 		Event:     "promotion ordered",
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -20,7 +20,8 @@
 	// storeRetryDelay is the delay before the record is read again after a read or
 	// write that was not answered.
 	storeRetryDelay = 100 * time.Millisecond
-	// PromotionTimeout bounds a promotion call; no call is in transit for longer.
+	// PromotionTimeout is how long after its decision a promotion may be sent or be in
+	// transit.
 	PromotionTimeout = time.Second
 	// takeoverDelay is the delay before the first promotion by a new holder whose
 	// predecessor did not release the lease. By then the predecessor has lost its
--- a/internal/failover/keeperduty/clients.go
+++ b/internal/failover/keeperduty/clients.go
@@ -72,20 +72,31 @@
 	duty.HandlerDefaults
 
 	promoter rosemarylb.Promoter
+	clock    rosemarylb.Clock
 	ring     *duty.Ring[Event]
 }
 
-// Handle implements duty.Handler. It blocks until the promoter answers or
-// keeper.PromotionTimeout has passed.
+// Handle implements duty.Handler. It blocks until the promoter answers or the
+// promotion's deadline has passed.
 func (c promotionClient) Handle(_ time.Time, promotion rosemarylb.Promotion) {
-	ctx, cancel := context.WithTimeout(context.Background(), keeper.PromotionTimeout)
-	defer cancel()
 	c.ring.Put(promotionFinished{
 		promotion: promotion,
-		outcome:   c.promoter.Promote(ctx, promotion),
+		outcome:   c.promote(promotion),
 	})
 }
 
+// promote sends a promotion. One that waited behind others until its deadline, or
+// during a pause of the process, is not sent.
+func (c promotionClient) promote(promotion rosemarylb.Promotion) rosemarylb.PromotionOutcome {
+	left := promotion.Deadline.Sub(c.clock.Now())
+	if left <= 0 {
+		return rosemarylb.PromotionDeferred
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	return c.promoter.Promote(ctx, promotion)
+}
+
 // recordWatcher watches the record in the store, unless the lease holder reports
 // changes to this instance.
 type recordWatcher struct {
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -118,6 +118,7 @@
 	}, r.recordRequests)
 	promotionDuty, stopPromotion := duty.StartWithClock[rosemarylb.Promotion](r.clock, "keeper-promotions", promotionClient{
 		promoter: promoter,
+		clock:    r.clock,
 		ring:     r.ring,
 	}, r.promotions)
 	watchDuty, stopWatch := duty.StartWithClock[struct{}](r.clock, "keeper-watch", &recordWatcher{
