End a session after its answer during a drain, and answer what is left

Cause: a drain closed a session only when a tick found it without a query. A caller that sends its next query right after each answer stayed and was served until the drain gave up after 4/5 of the grace period, with queries in progress.

Change: from the time at which idle sessions are closed, a caller's session ends right after its next answer. At 5/6 of the grace period the queries that are still in progress are answered as not run, aborted or unknown.

Evidence: without the two steps the tests fail: got a session open after its answer, want it closed a write that was sent: got answers [], want unknown and a rejection of the pipelined read

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -29,6 +29,9 @@
 	idleCloseDelay = 2200 * time.Millisecond
 	// drainPollInterval is the time between two checks whether a drain is complete.
 	drainPollInterval = 20 * time.Millisecond
+	// drainFlushTime is the time after the end of a drain in which the last answers are
+	// sent.
+	drainFlushTime = 150 * time.Millisecond
 	// readHeaderTimeout is the maximum time to read the header of an HTTP request.
 	readHeaderTimeout = 2 * time.Second
 )
@@ -224,20 +227,21 @@
 }
 
 // Drain shuts the instance down gracefully within a grace period. It reports not
-// ready at once, closes idle sessions after idleCloseDelay or a third of the
-// period, and rolls back open transactions after half of it. It also releases
-// the keeper's lease. Drain returns when no session is open and the lease is
-// released, or after 4/5 of the period; not before idleCloseDelay.
+// ready at once. From idleCloseDelay or a third of the period on, it closes idle
+// sessions, and others after their next answer. It rolls back open transactions after
+// half of the period, and answers the queries that are still in progress after 5/6 of
+// it. It also releases the keeper's lease. Drain returns when no session is open and
+// the lease is released, but not before idleCloseDelay, or at the end of the drain.
 func (i *Instance) Drain(grace time.Duration) {
 	now := i.clock.Now()
-	abortAt := now.Add(grace / 2)
+	endAt := now.Add(grace * 5 / 6)
 	i.keeperRunner.Ring().Put(keeperduty.RetireRequested{})
 	i.proxy.Ring().Put(proxy.DrainStarted{
 		CloseAt: now.Add(min(idleCloseDelay, grace/3)),
-		AbortAt: abortAt,
+		AbortAt: now.Add(grace / 2),
+		EndAt:   endAt,
 	})
-	deadline := now.Add(grace * 4 / 5)
-	for i.clock.Now().Before(deadline) {
+	for i.clock.Now().Before(endAt.Add(drainFlushTime)) {
 		time.Sleep(drainPollInterval)
 		s := i.proxy.Status().Load()
 		if i.clock.Now().After(now.Add(idleCloseDelay)) && s.Empty && i.keeperRunner.NotHolding().Load() {
--- a/internal/traffic/proxy/endpoint.go
+++ b/internal/traffic/proxy/endpoint.go
@@ -84,29 +84,6 @@
 	}
 }
 
-// closesIdleSessions reports whether the drain has reached the time at which
-// idle sessions are closed.
-func (p *Proxy) closesIdleSessions(now time.Time) bool {
-	return !p.drain.CloseAt.IsZero() && !now.Before(p.drain.CloseAt)
-}
-
-// closeSessions closes sessions during a drain: idle ones from CloseAt on,
-// those with an open transaction from AbortAt on.
-func (p *Proxy) closeSessions(now time.Time) {
-	if !p.closesIdleSessions(now) {
-		return
-	}
-	abort := !now.Before(p.drain.AbortAt)
-	for _, s := range p.sessions {
-		if s.current != nil || len(s.pipelined) > 0 {
-			continue
-		}
-		if s.state.TransactionState() == rosemarylb.TransactionNone || abort {
-			p.disconnect(s, now)
-		}
-	}
-}
-
 // EndpointReport describes one endpoint in a state dump.
 type EndpointReport struct {
 	// Endpoint is the endpoint.
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -1,10 +1,6 @@
 package proxy
 
-import (
-	"time"
-
-	"rosemarylb"
-)
+import "rosemarylb"
 
 // Event is an input of the proxy.
 type Event interface {
@@ -90,14 +86,6 @@
 	Share rosemarylb.ConnectionShare
 }
 
-// DrainStarted starts a drain, which closes all sessions.
-type DrainStarted struct {
-	// CloseAt is the time from which idle sessions are closed.
-	CloseAt time.Time
-	// AbortAt is the time from which open transactions are rolled back.
-	AbortAt time.Time
-}
-
 func (SessionOpened) proxyEvent()    {}
 func (PeersChanged) proxyEvent()     {}
 func (QueryReceived) proxyEvent()    {}
@@ -109,4 +97,3 @@
 func (CatalogChanged) proxyEvent()   {}
 func (PermitsReceived) proxyEvent()  {}
 func (ShareChanged) proxyEvent()     {}
-func (DrainStarted) proxyEvent()     {}
--- a/internal/traffic/proxy/outcome.go
+++ b/internal/traffic/proxy/outcome.go
@@ -69,6 +69,7 @@
 	queryTime.Update(now.Sub(pq.arrivedAt).Seconds())
 	p.sendReply(s.state.ID(), r.WithState(s.state.TransactionState()))
 	p.startPipelined(s, now)
+	p.closeAnswered(s, now)
 }
 
 // endTransaction moves the session out of its open transaction after a query in
@@ -252,11 +253,16 @@
 // closeTimedOut closes a connection on which no reply arrived before the
 // deadline of the current query.
 func (p *Proxy) closeTimedOut(c *connection, now time.Time) {
-	pq := c.current
-	p.endpointPort.Close(c.id)
 	if !c.isRelayed() {
 		p.recordFailure(c.pool, now)
 	}
+	p.closeBusy(c, now)
+}
+
+// closeBusy closes a connection and completes its current query as unanswered.
+func (p *Proxy) closeBusy(c *connection, now time.Time) {
+	pq := c.current
+	p.endpointPort.Close(c.id)
 	p.removeConnection(c)
 	pq.connection = nil
 	c.current = nil
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -202,9 +202,15 @@
 	}
 }
 
-// cancelQueued removes a query of a closed session from the queue, the delayed
-// queries and the held replies.
+// cancelQueued removes a query of a closed session that waits.
 func (p *Proxy) cancelQueued(pq *pendingQuery) {
+	p.removeWaiting(pq)
+	p.inFlight--
+}
+
+// removeWaiting removes a query from the queue, the delayed queries and the held
+// replies. It reports whether a reply to it was held.
+func (p *Proxy) removeWaiting(pq *pendingQuery) bool {
 	g := p.group(pq.route.Group)
 	id := rosemarylb.RequestID{
 		Sequence: pq.number,
@@ -213,11 +219,12 @@
 	g.delayed = slices.DeleteFunc(g.delayed, func(o *pendingQuery) bool {
 		return o == pq
 	})
+	held := len(g.heldReplies)
 	g.heldReplies = slices.DeleteFunc(g.heldReplies, func(h heldReply) bool {
 		return h.query == pq
 	})
 	delete(g.queued, pq.number)
-	p.inFlight--
+	return len(g.heldReplies) < held
 }
 
 // delay postpones the placement of a query.
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if p.closesIdleSessions(now) {
-		p.rejectSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance shuts down"))
+		p.rejectSession(e.Session, shutdownReply())
 		return
 	}
 	if e.Endpoint != "" && !p.acceptsRelaySession(e.Endpoint, now) {
@@ -92,6 +92,7 @@
 	}
 	if s.current == nil && len(s.pipelined) == 0 {
 		p.startQuery(s, e.Query, now)
+		p.closeAnswered(s, now)
 		return
 	}
 	if len(s.pipelined) >= sessionPipelineLimit {
@@ -103,6 +104,10 @@
 
 // startQuery answers a query locally or schedules it on an endpoint.
 func (p *Proxy) startQuery(s *session, q rosemarylb.Query, now time.Time) {
+	if p.drainEnded(now) {
+		p.sendReply(s.state.ID(), shutdownReply().WithState(s.state.TransactionState()))
+		return
+	}
 	if s.state.TransactionState() == rosemarylb.TransactionNone || s.relayEndpoint != "" {
 		route, found := p.route(s, q)
 		if !found {
