End the logger while its output is blocked

Cause: the logger's stop waited for the write in progress, however long it took; the bound of 200 ms held for the queued lines only, and not when the ring was empty.

Change: the duty is stopped by a thread of its own, and the wait ends when a write takes longer than 200 ms.

--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -32,9 +32,9 @@
 }
 
 // StartLogger starts a duty that writes to out, and returns a logger that queues lines
-// for it. The returned function waits until the queued lines are written or a
-// write exceeds writeTimeout, and then stops the duty, which first completes a
-// write in progress.
+// for it. The returned function waits until the queued lines are written, and stops
+// the duty. If a write exceeds writeTimeout, the function returns at once, and the
+// duty stops after that write.
 func StartLogger(out io.Writer) (*slog.Logger, func()) {
 	r := &ringWriter{
 		ring: duty.NewRing[[]byte]("journal", ringCapacity),
@@ -53,9 +53,20 @@
 	}
 	return slog.New(h), func() {
 		for r.ring.Depth() > 0 && !w.isBlocked(time.Now()) {
-			time.Sleep(time.Millisecond)
+			time.Sleep(stopPollInterval)
+		}
+		stopped := make(chan struct{})
+		duty.Spawn(func() {
+			stop()
+			close(stopped)
+		})
+		for !w.isBlocked(time.Now()) {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(stopPollInterval):
+			}
 		}
-		stop()
 	}
 }
 
@@ -85,9 +96,13 @@
 	writeStartedAt time.Time
 }
 
-// writeTimeout is the maximum duration of a write before the shutdown stops
-// waiting for the queued lines.
-const writeTimeout = 200 * time.Millisecond
+const (
+	// writeTimeout is the maximum duration of a write before the shutdown stops
+	// waiting for it and for the queued lines.
+	writeTimeout = 200 * time.Millisecond
+	// stopPollInterval is the time between two checks whether the lines are written.
+	stopPollInterval = time.Millisecond
+)
 
 // isBlocked reports whether a write has been in progress for longer than
 // writeTimeout.
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -39,6 +39,31 @@
 	stop()
 }
 
+// A process whose output blocked did not end after SIGTERM: its logger waited for the
+// write in progress.
+func TestBlockedOutputDoesNotBlockShutdown(t *testing.T) {
+	for _, lines := range []int{1, 3 * ringCapacity} {
+		out := blockedWriter{
+			release: make(chan struct{}),
+		}
+		defer close(out.release)
+		log, stop := StartLogger(out)
+		for i := range lines {
+			log.Info("event", "number", i)
+		}
+		stopped := make(chan struct{})
+		go func() {
+			stop()
+			close(stopped)
+		}()
+		select {
+		case <-stopped:
+		case <-time.After(10 * writeTimeout):
+			t.Errorf("%d lines: got no end of the logger after %s, want one", lines, 10*writeTimeout)
+		}
+	}
+}
+
 // syncBuffer is an output that is safe for concurrent use.
 type syncBuffer struct {
 	mu   sync.Mutex
