--- a/internal/experiment/soak/harness.go
+++ b/internal/experiment/soak/harness.go
@@ -75,6 +75,7 @@
 // Harness runs the instances and the stand-ins that they talk to.
 type Harness struct {
 	seed         uint64
+	network      network
 	folder       string
 	recorder     *Recorder
 	store        *objects.Store
@@ -120,6 +121,12 @@
 }
 
 func (h *Harness) start(o Options) error {
+	reserved, release, err := reserveNetwork(o.Seed)
+	if err != nil {
+		return err
+	}
+	h.network = reserved
+	h.cleanups = append(h.cleanups, release)
 	for g := range o.Groups {
 		if err := h.startGroup("svc" + strconv.Itoa(g)); err != nil {
 			return err
@@ -241,7 +248,7 @@
 // startInstance starts a process with its own loopback address, view of the store
 // and links. The view replaces the endpoints' addresses by those of the links.
 func (h *Harness) startInstance(number int, program string) error {
-	ip := fmt.Sprintf("127.%d.%d.%d", 16+h.seed%200, h.seed/200%250, number+1)
+	ip := h.network.host(number)
 	i := &instance{
 		name:          "front-" + strconv.Itoa(number),
 		zone:          string(rune('a' + number%len(zoneRegions))),
