Let promotions wait in the model of the keeper

Promotions wait now, one in four up to 3 s as if behind those of other groups and all behind a pause of the instance, and are sent by promotionClient.

--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -1,6 +1,7 @@
 package keeperduty
 
 import (
+	"context"
 	"flag"
 	"math/rand/v2"
 	"slices"
@@ -26,6 +27,8 @@
 	modelInstances = 5
 	// modelStopTime is how long a process runs on after a planned stop has begun.
 	modelStopTime = 4 * time.Second
+	// modelMaxQueueTime is the longest time that a promotion waits behind others.
+	modelMaxQueueTime = 3 * time.Second
 )
 
 // TestNoCommitAtAReplacedPrimaryAndNoStaleRead simulates keepers, instances, a store
@@ -496,11 +499,55 @@
 	})
 }
 
-// promote delivers a promotion after up to the timeout of a call, and checks the
-// fencing tokens: each belongs to one holder, and they never decrease.
+// promote queues a promotion, as the ring of the duty that sends promotions does. One
+// in four waits there behind those of other groups, and all do while the instance is
+// paused.
 func (s *simulation) promote(instance *simulatedInstance, promotion rosemarylb.Promotion) {
 	onInstance := callbackRunner(instance)
-	s.schedule(keeper.PromotionTimeout, func() {
+	wait := modelStep
+	if s.random.IntN(4) == 0 {
+		wait = modelMaxQueueTime
+	}
+	s.schedule(wait, func() {
+		onInstance(func() {
+			p := &modelPromoter{
+				simulation: s,
+				instance:   instance,
+			}
+			outcome := promotionClient{
+				promoter: p,
+				clock:    p,
+			}.promote(promotion)
+			if !p.sent {
+				instance.keeper = instance.keeper.WithPromotionOutcome(promotion, outcome, s.now)
+			}
+		})
+	})
+}
+
+// modelPromoter is the promoter and the clock of one instance. Its outcomes reach the
+// keeper later.
+type modelPromoter struct {
+	simulation *simulation
+	instance   *simulatedInstance
+	sent       bool
+}
+
+// Now implements rosemarylb.Clock.
+func (p *modelPromoter) Now() time.Time { return p.simulation.now }
+
+// Promote implements rosemarylb.Promoter.
+func (p *modelPromoter) Promote(_ context.Context, promotion rosemarylb.Promotion) rosemarylb.PromotionOutcome {
+	p.sent = true
+	p.simulation.deliverPromotion(p.instance, promotion)
+	return rosemarylb.PromotionUnknown
+}
+
+// deliverPromotion delivers a promotion before its deadline, and checks the fencing
+// tokens: each belongs to one holder, and they never decrease.
+func (s *simulation) deliverPromotion(instance *simulatedInstance, promotion rosemarylb.Promotion) {
+	onInstance := callbackRunner(instance)
+	s.schedule(max(promotion.Deadline.Sub(s.now), modelStep), func() {
 		if holder, known := s.holderByToken[promotion.Token]; known && holder != instance.id {
 			s.reportViolation("two holders with token " + strconv.FormatUint(promotion.Token, 10))
 		}
