--- a/internal/failover/keeperduty/promotion_test.go
+++ b/internal/failover/keeperduty/promotion_test.go
@@ -40,15 +40,21 @@
 	}{
 		{"in time", []time.Duration{time.Second}, 0, []rosemarylb.PromotionOutcome{rosemarylb.PromotionUnknown}},
 		{
-			"behind another", []time.Duration{time.Second, time.Second}, 0,
+			"behind another",
+			[]time.Duration{time.Second, time.Second},
+			0,
 			[]rosemarylb.PromotionOutcome{rosemarylb.PromotionUnknown, rosemarylb.PromotionDeferred},
 		},
 		{
-			"behind a shorter one", []time.Duration{time.Second, 1500 * time.Millisecond}, 0,
+			"behind a shorter one",
+			[]time.Duration{time.Second, 1500 * time.Millisecond},
+			0,
 			[]rosemarylb.PromotionOutcome{rosemarylb.PromotionUnknown, rosemarylb.PromotionUnknown},
 		},
 		{
-			"after a pause", []time.Duration{time.Second, time.Second}, 4 * time.Second,
+			"after a pause",
+			[]time.Duration{time.Second, time.Second},
+			4 * time.Second,
 			[]rosemarylb.PromotionOutcome{rosemarylb.PromotionDeferred, rosemarylb.PromotionDeferred},
 		},
 	}
