--- a/internal/failover/keeper/failover_test.go
+++ b/internal/failover/keeper/failover_test.go
@@ -11,16 +11,7 @@
 // left, the group stayed without a primary.
 func TestOnlyCandidateIsAskedAgainAfterRefusal(t *testing.T) {
 	now := time.Unix(1000, 0)
-	k := newReportedKeeper(now, make([]Observation, 4))
-	k.record = Record{}.WithHolder("i0", 1, "").WithLeadership("g", Leadership{
-		Primary: "e1",
-		Term:    1,
-	})
-	k.recordKnown = true
-	k.revision = 1
-	k.token = k.record.Token
-	k.leaseUntil = now.Add(time.Hour)
-	k.renewAt = now.Add(time.Hour)
+	k := newHolder(now)
 	var sentAt []time.Time
 	for end := now.Add(6 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
 		for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
