Authenticate callers by the API key of their team

Callers could use any route, and endpoints were told the name of the instance. The catalog now holds teams with digests of their keys. Sessions without a known key are refused, and those whose key is withdrawn end: idle ones are closed, a query that was sent is answered first, an open transaction is rolled back. Relays carry the team.

Connections to endpoints do not follow the team yet, so queries of a team do not run. Deployments without teams are served as before: go test ./internal/traffic/... ./platform passed.

--- a/behaviour.go
+++ b/behaviour.go
@@ -238,14 +238,24 @@
 	Close(id ConnectionID)
 }
 
+// SessionRequest is a request to open a session.
+type SessionRequest struct {
+	// Database is the name that a caller connects to, or the group of an instance that
+	// relays queries.
+	Database string
+	// Key is the digest of the caller's API key, zero for a relay session.
+	Key KeyDigest
+	// Endpoint is set in a relay session: the endpoint that the other instance regards
+	// as the primary.
+	Endpoint EndpointID
+}
+
 // CallerSink receives the decoded events of a front end. Its methods run on an
 // event loop. They may block on a ring only if the duty that drains the ring
 // never waits for an event loop; otherwise the two would deadlock.
 type CallerSink interface {
-	// SessionOpened reports a new session. For a caller, database is the name it
-	// connected to. For another instance that relays queries, database is the
-	// group and endpoint is the primary that the instance expects.
-	SessionOpened(id SessionID, database string, endpoint EndpointID)
+	// SessionOpened reports a new session.
+	SessionOpened(id SessionID, r SessionRequest)
 	// QueryReceived delivers a query of a session.
 	QueryReceived(id SessionID, q Query)
 	// SessionClosed reports that the caller closed the session or its connection broke.
--- a/catalog.go
+++ b/catalog.go
@@ -1,5 +1,10 @@
 package rosemarylb
 
+import (
+	"iter"
+	"maps"
+)
+
 // Consistency is the consistency level of a route's reads.
 type Consistency uint8
 
@@ -40,6 +45,8 @@
 	TimeoutMillis int64
 	// Rank is the priority class of the route's requests.
 	Rank Rank
+	// AuthExempt is true for a route that callers may use without an API key.
+	AuthExempt bool
 }
 
 // Group is the configuration of a replicated database whose endpoints register
@@ -62,6 +69,58 @@
 	Groups map[DatabaseName]Group
 	// TransactionIdleMillis is the idle-in-transaction timeout, in milliseconds.
 	TransactionIdleMillis int64
+
+	// teams is nil where callers are not authenticated.
+	teams      map[TeamName]Team
+	teamsByKey map[KeyDigest]TeamName
+}
+
+// WithTeams returns the catalog with the teams whose callers it authenticates. A key
+// of several teams belongs to the first of them.
+func (c Catalog) WithTeams(teams []Team) Catalog {
+	c.teams = make(map[TeamName]Team, len(teams))
+	c.teamsByKey = make(map[KeyDigest]TeamName, len(teams))
+	for _, t := range teams {
+		c.teams[t.Name] = t
+		for _, key := range t.Keys {
+			if _, taken := c.teamsByKey[key]; !taken {
+				c.teamsByKey[key] = t.Name
+			}
+		}
+	}
+	return c
+}
+
+// Authenticates reports whether callers need an API key.
+func (c Catalog) Authenticates() bool {
+	return c.teams != nil
+}
+
+// Team returns a team by name, and false if there is none.
+func (c Catalog) Team(name TeamName) (Team, bool) {
+	t, found := c.teams[name]
+	return t, found
+}
+
+// Teams returns all teams in no particular order.
+func (c Catalog) Teams() iter.Seq[Team] {
+	return maps.Values(c.teams)
+}
+
+// TeamOf returns the team that holds an API key, and false if none does.
+func (c Catalog) TeamOf(key KeyDigest) (TeamName, bool) {
+	name, found := c.teamsByKey[key]
+	return name, found
+}
+
+// Admit returns the team of a caller with the given key on a route, empty if it has
+// none. It returns false if the caller has to be refused.
+func (c Catalog) Admit(r Route, key KeyDigest) (TeamName, bool) {
+	if !c.Authenticates() {
+		return "", true
+	}
+	team, known := c.TeamOf(key)
+	return team, known || r.AuthExempt
 }
 
 // Supersedes reports whether c is a later version than other.
--- a/endpoint.go
+++ b/endpoint.go
@@ -25,6 +25,8 @@
 	// Via is the address of the instance that relays queries to the endpoint,
 	// empty for a direct connection.
 	Via string
+	// Team is the team that a connection is opened for, empty for the instance itself.
+	Team TeamName
 	// Born increases whenever an endpoint restarts under the same name.
 	Born int64
 }
@@ -41,6 +43,12 @@
 	return e
 }
 
+// WithTeam returns the endpoint for a connection of a team.
+func (e EndpointSpec) WithTeam(t TeamName) EndpointSpec {
+	e.Team = t
+	return e
+}
+
 // WithRegionAndLimit returns the endpoint with another region and connection limit.
 func (e EndpointSpec) WithRegionAndLimit(region RegionName, connections int) EndpointSpec {
 	e.Region = region
--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -117,6 +117,7 @@
 		pool:      ep,
 		state:     connectionOpening,
 		via:       spec.Via,
+		team:      spec.Team,
 		expiresAt: now.Add(openTimeout),
 		prepared:  map[string]struct{}{},
 	}
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -14,6 +14,8 @@
 	// Database is the requested database name, or the group name in a relay
 	// session.
 	Database string
+	// Key is the digest of the caller's API key.
+	Key rosemarylb.KeyDigest
 	// Endpoint is set in a relay session, in which another instance forwards
 	// queries for a primary: the endpoint that the other instance regards as
 	// the primary.
--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -72,7 +72,7 @@
 	if pq.connection.isRelayed() {
 		timeoutMillis = max(pq.deadline.Sub(now).Milliseconds(), 1)
 	}
-	q = q.WithRankAndTimeout(pq.route.Rank, timeoutMillis)
+	q = q.WithRankAndTimeout(pq.route.Rank, timeoutMillis).WithTeam(pq.team)
 	pq.sentAt = now
 	pq.sent = len(pq.steps) == 1
 	p.endpointPort.Send(pq.connection.id, q)
@@ -154,6 +154,13 @@
 		}
 	}
 	pq.steps = pq.steps[1:]
+	if pq.session.access.isRevoked() {
+		pq.connection = nil
+		c.current = nil
+		p.releaseConnection(c, r.State, now)
+		p.complete(pq, unauthenticatedReply(), now)
+		return
+	}
 	p.sendStep(pq, now)
 }
 
@@ -263,6 +270,10 @@
 		p.inFlight--
 		return
 	}
+	if pq.session.access.isRevoked() {
+		p.complete(pq, unauthenticatedReply(), now)
+		return
+	}
 	retriesTotal.Inc()
 	g := ep.group
 	backoff := time.Duration(0)
--- a/internal/traffic/proxy/outcome.go
+++ b/internal/traffic/proxy/outcome.go
@@ -68,6 +68,11 @@
 	p.logOutcome(pq, r, now)
 	queryTime.Update(now.Sub(pq.arrivedAt).Seconds())
 	p.sendReply(s.state.ID(), r.WithState(s.state.TransactionState()))
+	if s.access.isRevoked() {
+		p.refusePipelined(s)
+		p.disconnect(s, now)
+		return
+	}
 	p.startPipelined(s, now)
 	p.closeAnswered(s, now)
 }
@@ -94,7 +99,7 @@
 		event = "query served"
 	}
 	p.log.Info(event, "id", pq.query.ID, "kind", pq.query.Kind.String(), "code", r.Code.String(), "reason", r.Text,
-		"group", g.name, "rank", pq.route.Rank.String(), "attempts", pq.attempts, "sent", pq.sent, "endpoint", pq.endpoint,
+		"group", g.name, "team", pq.team, "rank", pq.route.Rank.String(), "attempts", pq.attempts, "sent", pq.sent, "endpoint", pq.endpoint,
 		"term", pq.term, "wait", pq.requiredPosition.String(), "primary", g.permit.Primary, "permit-term", g.permit.Term,
 		"permit-age-ms", now.Sub(g.permit.RequestedAt).Milliseconds(), "waiting", g.waitingCount(),
 		"version", p.catalog.Version, "took-ms", now.Sub(pq.arrivedAt).Milliseconds())
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -26,11 +26,15 @@
 		number:    number,
 		session:   s,
 		route:     s.route,
+		team:      s.access.team,
 		query:     q,
 		arrivedAt: now,
 		asOf:      now.Add(-time.Duration(s.route.StalenessMillis) * time.Millisecond),
 		deadline:  now.Add(time.Duration(s.route.TimeoutMillis) * time.Millisecond),
 	}
+	if s.relayEndpoint != "" {
+		pq.team = q.Team
+	}
 	d := s.state
 	pq.inTransaction = d.TransactionState() == rosemarylb.TransactionOpen
 	pq.needsBegin = pq.inTransaction && !d.TransactionStarted()
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -179,6 +179,7 @@
 	}
 	p.expireConnections(now)
 	p.rejectWaitingSessions(now)
+	p.closeRevoked(now)
 	if !p.drain.CloseAt.IsZero() {
 		p.closeSessions(now)
 	}
@@ -245,6 +246,7 @@
 	for name := range e.Catalog.Groups {
 		p.group(name)
 	}
+	p.revokeSessions(now)
 	for _, ep := range p.pools {
 		ep.spec = ep.spec.WithRegionAndLimit(ep.spec.Region, e.Catalog.Groups[ep.group.name].MaxConnections)
 	}
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -108,6 +108,7 @@
 		ID: rosemarylb.RequestID{
 			Sequence: pq.number,
 		},
+		Caller:        string(pq.team),
 		Rank:          pq.route.Rank,
 		ArrivedAt:     pq.arrivedAt,
 		QueueDeadline: until,
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -73,11 +73,11 @@
 
 // SessionOpened implements rosemarylb.CallerSink. The group replaces the database
 // name.
-func (s relaySink) SessionOpened(id rosemarylb.SessionID, group string, endpoint rosemarylb.EndpointID) {
+func (s relaySink) SessionOpened(id rosemarylb.SessionID, r rosemarylb.SessionRequest) {
 	s.proxy.ring.Put(SessionOpened{
 		Session:  id | relaySessionBit,
-		Database: group,
-		Endpoint: endpoint,
+		Database: r.Database,
+		Endpoint: r.Endpoint,
 	})
 }
 
@@ -112,10 +112,13 @@
 	return false
 }
 
-// canUse reports whether a query may run on a connection: relayed queries use
-// direct connections only.
+// canUse reports whether a query may run on a connection: a direct one of its team, or
+// a relay connection for a query that was not relayed itself.
 func (pq *pendingQuery) canUse(c *connection) bool {
-	return !c.isRelayed() || pq.session.relayEndpoint == ""
+	if c.isRelayed() {
+		return pq.session.relayEndpoint == ""
+	}
+	return c.team == pq.team
 }
 
 // targetsOtherPrimary reports whether the query was relayed for a primary other
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -31,12 +31,21 @@
 		})
 		return
 	}
-	if _, found := p.catalog.Routes[e.Database]; !found && e.Endpoint == "" {
+	route, found := p.catalog.Routes[e.Database]
+	if !found && e.Endpoint == "" {
 		p.log.Info("session refused", "session", e.Session, "database", e.Database,
 			"version", p.catalog.Version, "reason", "no-database")
 		p.rejectSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
 		return
 	}
+	team, admitted := p.catalog.Admit(route, e.Key)
+	if !admitted && e.Endpoint == "" {
+		unauthenticatedTotal.Inc()
+		p.log.Info("session refused", "session", e.Session, "database", e.Database,
+			"version", p.catalog.Version, "reason", "unauthenticated")
+		p.rejectSession(e.Session, unauthenticatedReply())
+		return
+	}
 	if p.closesIdleSessions(now) {
 		p.rejectSession(e.Session, shutdownReply())
 		return
@@ -49,6 +58,10 @@
 	p.sessions[e.Session] = &session{
 		state:         sessionstate.NewSession(e.Session, e.Database),
 		relayEndpoint: e.Endpoint,
+		access: access{
+			key:  e.Key,
+			team: team,
+		},
 	}
 	p.acceptSession(e.Session)
 }
@@ -108,6 +121,11 @@
 		p.sendReply(s.state.ID(), shutdownReply().WithState(s.state.TransactionState()))
 		return
 	}
+	if s.access.isRevoked() {
+		p.sendReply(s.state.ID(), unauthenticatedReply().WithState(s.state.TransactionState()))
+		p.disconnect(s, now)
+		return
+	}
 	if s.state.TransactionState() == rosemarylb.TransactionNone || s.relayEndpoint != "" {
 		route, found := p.route(s, q)
 		if !found {
--- a/internal/traffic/proxy/sink.go
+++ b/internal/traffic/proxy/sink.go
@@ -26,10 +26,11 @@
 }
 
 // SessionOpened implements rosemarylb.CallerSink.
-func (p *Proxy) SessionOpened(id rosemarylb.SessionID, database string, _ rosemarylb.EndpointID) {
+func (p *Proxy) SessionOpened(id rosemarylb.SessionID, r rosemarylb.SessionRequest) {
 	p.ring.Put(SessionOpened{
 		Session:  id,
-		Database: database,
+		Database: r.Database,
+		Key:      r.Key,
 	})
 }
 
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -10,8 +10,9 @@
 
 // session is the state of a caller or relay session.
 type session struct {
-	state sessionstate.Session
-	route rosemarylb.Route
+	state  sessionstate.Session
+	route  rosemarylb.Route
+	access access
 	// relayEndpoint is the endpoint that the other instance of a relay session
 	// regards as the primary, empty in a session of a caller.
 	relayEndpoint rosemarylb.EndpointID
@@ -25,6 +26,7 @@
 	number           uint64
 	session          *session
 	route            rosemarylb.Route
+	team             rosemarylb.TeamName
 	query            rosemarylb.Query
 	needsPrimary     bool
 	needsBegin       bool
@@ -103,8 +105,11 @@
 	settings    map[string]string
 	settingsKey string
 	prepared    map[string]struct{}
-	term        rosemarylb.Term
-	closing     bool
+	// team is the team that a direct connection belongs to. A relay connection carries
+	// queries of all teams.
+	team    rosemarylb.TeamName
+	term    rosemarylb.Term
+	closing bool
 	// via is the address of the instance that the connection goes through, empty
 	// for a direct connection.
 	via string
--- a/query.go
+++ b/query.go
@@ -77,6 +77,8 @@
 	Term Term
 	// Rank is the priority class of a query that is relayed to another instance.
 	Rank Rank
+	// Team is the team of the caller of a relayed query, empty if it has none.
+	Team TeamName
 	// TimeoutMillis is the time left until the deadline of a relayed query, in
 	// milliseconds.
 	TimeoutMillis int64
@@ -90,6 +92,12 @@
 	return q
 }
 
+// WithTeam returns the query to relay with the team of its caller.
+func (q Query) WithTeam(t TeamName) Query {
+	q.Team = t
+	return q
+}
+
 // WithName returns the query with another name.
 func (q Query) WithName(name string) Query {
 	q.Name = name
--- a/reply.go
+++ b/reply.go
@@ -37,11 +37,14 @@
 	ReplyNoDatabase
 	// ReplyOther is any other error of an endpoint.
 	ReplyOther
+	// ReplyUnauthenticated means that the caller's API key is not known, or no longer.
+	ReplyUnauthenticated
 )
 
 var replyNames = [...]string{
 	"done", "busy", "aborted", "behind", "read-only", "wrong-endpoint", "connection-limit", "no-statement",
 	"failed", "timeout", "unknown", "malformed", "no-database", "other",
+	"unauthenticated",
 }
 
 // String returns the name of the code.
