Queue: take the next eligible request, learn whose time was used

Next passed only over expired requests, so a request that waits for an unavailable endpoint blocked its whole queue, and WithServed knew the rank but not the caller. Next now takes a function that tells which requests can run, and WithServed takes the request. Request gains Weight, the caller's share of the service time, which the queue does not use yet.

--- a/behaviour.go
+++ b/behaviour.go
@@ -38,17 +38,19 @@
 	// cannot meet its deadline. If the queue is full, it rejects the new request
 	// or a queued one.
 	WithRequest(r Request, now time.Time) (Queue, Rejection)
-	// Next removes the request to serve next, and every request that can no
-	// longer meet its deadline.
-	Next(now time.Time) (next Dispatch, rest Queue)
+	// Next removes the request to serve next, and those ahead of it that can no
+	// longer meet their deadlines. It passes over callers whose first request is
+	// not eligible; a nil function accepts all requests.
+	Next(now time.Time, eligible func(Request) bool) (next Dispatch, rest Queue)
 	// WithoutRequest removes a request. It returns false if the request is not
 	// in the queue.
 	WithoutRequest(id RequestID) (Queue, bool)
 	// WithoutExpired removes the requests whose queueing deadline has passed
 	// and returns them.
 	WithoutExpired(now time.Time) (Queue, []Request)
-	// WithServed records for how long a request of the rank occupied a slot.
-	WithServed(rank Rank, service time.Duration) Queue
+	// WithServed records for how long a request occupied a slot. The time counts
+	// for the request's rank, and for its caller by the request's weight.
+	WithServed(r Request, service time.Duration) Queue
 	// WithServiceConfig applies the limits of a configuration for an endpoint with
 	// the given number of slots.
 	WithServiceConfig(s ServiceConfig, slots int) Queue
--- a/internal/experiment/flood/baseline.go
+++ b/internal/experiment/flood/baseline.go
@@ -39,8 +39,8 @@
 	return b, rosemarylb.Rejection{}
 }
 
-// Next implements rosemarylb.Queue.
-func (b *baseline) Next(now time.Time) (rosemarylb.Dispatch, rosemarylb.Queue) {
+// Next implements rosemarylb.Queue. It regards all requests as eligible.
+func (b *baseline) Next(now time.Time, _ func(rosemarylb.Request) bool) (rosemarylb.Dispatch, rosemarylb.Queue) {
 	var d rosemarylb.Dispatch
 	for {
 		rank, found := b.chooseRank()
@@ -98,7 +98,7 @@
 }
 
 // WithServed implements rosemarylb.Queue.
-func (b *baseline) WithServed(rosemarylb.Rank, time.Duration) rosemarylb.Queue {
+func (b *baseline) WithServed(rosemarylb.Request, time.Duration) rosemarylb.Queue {
 	return b
 }
 
--- a/internal/experiment/flood/flood.go
+++ b/internal/experiment/flood/flood.go
@@ -270,7 +270,7 @@
 
 func (s *simulation) dispatch() {
 	for len(s.running) < slotCount {
-		d, rest := s.queue.Next(s.now)
+		d, rest := s.queue.Next(s.now, nil)
 		s.queue = rest
 		for _, q := range d.Expired {
 			s.reject(q)
@@ -291,7 +291,7 @@
 func (s *simulation) complete(i int) {
 	e := s.running[i]
 	s.running = slices.Delete(s.running, i, i+1)
-	s.queue = s.queue.WithServed(e.request.Rank, e.serviceTime)
+	s.queue = s.queue.WithServed(e.request, e.serviceTime)
 	if !s.isMeasured(s.now) {
 		return
 	}
--- a/internal/peer/endpoint/dispatch.go
+++ b/internal/peer/endpoint/dispatch.go
@@ -33,7 +33,7 @@
 		o.openConnection(se, now)
 		return false
 	}
-	next, rest := se.queue.Next(now)
+	next, rest := se.queue.Next(now, nil)
 	se.queue = rest
 	for _, r := range next.Expired {
 		o.reject(r, rosemarylb.ReasonDeadline, se)
--- a/internal/peer/endpoint/loss.go
+++ b/internal/peer/endpoint/loss.go
@@ -43,7 +43,7 @@
 // rejectQueued rejects all requests in the queue of an endpoint.
 func (o *Owner) rejectQueued(se *servedEndpoint, reason rosemarylb.Reason, now time.Time) {
 	for hasQueued(se.queue) {
-		next, rest := se.queue.Next(now)
+		next, rest := se.queue.Next(now, nil)
 		se.queue = rest
 		for _, r := range next.Expired {
 			o.reject(r, rosemarylb.ReasonDeadline, se)
--- a/internal/peer/endpoint/settle.go
+++ b/internal/peer/endpoint/settle.go
@@ -39,7 +39,7 @@
 }
 
 func (o *Owner) recordServiceTime(se *servedEndpoint, r *runningRequest, now time.Time) {
-	se.queue = se.queue.WithServed(r.request.Rank, now.Sub(r.startedAt))
+	se.queue = se.queue.WithServed(r.request, now.Sub(r.startedAt))
 }
 
 func (o *Owner) newOutcome(se *servedEndpoint, r *runningRequest, response Response) rosemarylb.Outcome {
--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -171,7 +171,11 @@
 		ep.stats = ep.stats.withLatency(now.Sub(pq.sentAt))
 	}
 	q := &ep.group.queues[pq.queue]
-	*q = (*q).WithServed(pq.route.Rank, now.Sub(pq.sentAt)).
+	served := rosemarylb.Request{
+		Caller: string(pq.team),
+		Rank:   pq.route.Rank,
+	}
+	*q = (*q).WithServed(served, now.Sub(pq.sentAt)).
 		WithServiceConfig(queueSettings, p.slotCount(ep.group, pq.needsPrimary, now))
 	if r.Code == rosemarylb.ReplyNoStatement {
 		delete(c.prepared, pq.query.Name)
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -334,7 +334,7 @@
 // dequeue removes the next query from a queue and rejects expired ones. It
 // returns nil if none is left.
 func (p *Proxy) dequeue(g *group, kind queueKind, now time.Time) *pendingQuery {
-	d, rest := g.queues[kind].Next(now)
+	d, rest := g.queues[kind].Next(now, nil)
 	g.queues[kind] = rest
 	p.rejectExpired(g, d.Expired, now)
 	if !d.Found {
--- a/internal/traffic/queue/priority_queue.go
+++ b/internal/traffic/queue/priority_queue.go
@@ -131,18 +131,28 @@
 }
 
 // Next implements rosemarylb.Queue. It skips requests that would miss their
-// deadlines and returns them as expired.
-func (q PriorityQueue) Next(now time.Time) (rosemarylb.Dispatch, rosemarylb.Queue) {
+// deadlines and returns them as expired. A rank without an eligible request leaves
+// its turn to the others.
+func (q PriorityQueue) Next(
+	now time.Time, eligible func(rosemarylb.Request) bool,
+) (rosemarylb.Dispatch, rosemarylb.Queue) {
 	var expired []rosemarylb.Request
+	var passed [rosemarylb.RankCount]bool
 	for {
-		rank, found := q.selectRank()
+		rank, found := q.selectRank(passed)
 		if !found {
 			return rosemarylb.Dispatch{
 				Expired: expired,
 			}, q
 		}
 		var r rosemarylb.Request
-		r, q.queues[rank] = q.queues[rank].pop()
+		r, q.queues[rank], found = q.queues[rank].pop(func(r rosemarylb.Request) bool {
+			return eligible == nil || q.missesDeadline(r, now) || eligible(r)
+		})
+		if !found {
+			passed[rank] = true
+			continue
+		}
 		if q.missesDeadline(r, now) {
 			expired = append(expired, r)
 			continue
@@ -164,14 +174,15 @@
 	return now.After(r.QueueDeadline)
 }
 
-// selectRank returns the rank to serve next, false when no request waits. A rank
+// selectRank returns the rank to serve next, false when no request waits in a rank
+// that has not been passed over. A rank
 // whose credit exceeds its mean service time goes first, the highest credit
 // before others; without one, the most urgent waiting rank does.
-func (q PriorityQueue) selectRank() (rosemarylb.Rank, bool) {
+func (q PriorityQueue) selectRank(passed [rosemarylb.RankCount]bool) (rosemarylb.Rank, bool) {
 	chosen, found := rosemarylb.Rank(0), false
 	highestCredit := time.Duration(0)
 	for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
-		if q.queues[rank].depth == 0 {
+		if q.queues[rank].depth == 0 || passed[rank] {
 			continue
 		}
 		if !found {
@@ -210,7 +221,8 @@
 // WithServed implements rosemarylb.Queue. Every waiting rank is credited with its
 // minimum share of the service time, and the served rank is charged with all of
 // it.
-func (q PriorityQueue) WithServed(rank rosemarylb.Rank, serviceTime time.Duration) rosemarylb.Queue {
+func (q PriorityQueue) WithServed(r rosemarylb.Request, serviceTime time.Duration) rosemarylb.Queue {
+	rank := r.Rank
 	mean := q.meanServiceTime[rank]
 	q.meanServiceTime[rank] = mean + (serviceTime-mean)*serviceTimeWeightPercent/percent
 	for i := range q.queues {
--- a/internal/traffic/queue/priority_queue_test.go
+++ b/internal/traffic/queue/priority_queue_test.go
@@ -42,7 +42,7 @@
 	}
 	q, _ = q.WithRequest(newRequest(2, rosemarylb.RankUrgent, time.Second), start)
 	q, _ = q.WithRequest(newRequest(3, rosemarylb.RankUrgent, time.Minute), start)
-	d, q := q.Next(start.Add(2 * time.Second))
+	d, q := q.Next(start.Add(2*time.Second), nil)
 	if len(d.Expired) != 1 || d.Request.ID.Sequence != 3 {
 		t.Errorf("got %+v, want request 2 expired and request 3 served", d)
 	}
@@ -58,7 +58,35 @@
 	if !found {
 		t.Fatal("got request not found, want it found")
 	}
-	if d, _ := q.Next(start); d.Found {
+	if d, _ := q.Next(start, nil); d.Found {
 		t.Errorf("got request %+v, want none", d.Request)
 	}
 }
+
+func TestNextPassesOverCallersAndRanksWithoutEligibleRequest(t *testing.T) {
+	// A request that waits for one endpoint must not block those for others.
+	q := NewPriorityQueue(WithMaxDepth(10))
+	for n, r := range []struct {
+		caller string
+		rank   rosemarylb.Rank
+	}{{"a", rosemarylb.RankUrgent}, {"a", rosemarylb.RankStandard}, {"a", rosemarylb.RankStandard}, {"b", rosemarylb.RankStandard}} {
+		request := newRequest(uint64(n+1), r.rank, time.Second)
+		request.Caller = r.caller
+		q, _ = q.WithRequest(request, start)
+	}
+	blocked := map[uint64]bool{1: true, 2: true}
+	eligible := func(r rosemarylb.Request) bool {
+		return !blocked[r.ID.Sequence]
+	}
+	d, q := q.Next(start, eligible)
+	if got, want := d.Request.ID.Sequence, uint64(4); got != want {
+		t.Errorf("got request %d, want %d", got, want)
+	}
+	d, q = q.Next(start, eligible)
+	if d.Found {
+		t.Errorf("got request %d, want none", d.Request.ID.Sequence)
+	}
+	if got, want := q.Depth(rosemarylb.RankUrgent)+q.Depth(rosemarylb.RankStandard), 3; got != want {
+		t.Errorf("got %d requests left, want %d", got, want)
+	}
+}
--- a/internal/traffic/queue/rank_queue.go
+++ b/internal/traffic/queue/rank_queue.go
@@ -73,21 +73,28 @@
 	return q, newest
 }
 
-// pop returns the next request and the queue without it. The queue must not be
-// empty.
-func (q rankQueue) pop() (rosemarylb.Request, rankQueue) {
-	q.depth--
-	caller := q.callerOrder.Get(0)
-	q.callerOrder = q.callerOrder.Slice(1, q.callerOrder.Len())
-	requests, _ := q.requestsByCaller.Get(caller)
-	r := *requests.Get(0)
-	if requests.Len() == 1 {
-		q.requestsByCaller = q.requestsByCaller.Delete(caller)
-		return r, q
+// pop returns the next request that may be taken, and the queue without it. It is
+// false if there is none.
+func (q rankQueue) pop(mayTake func(rosemarylb.Request) bool) (rosemarylb.Request, rankQueue, bool) {
+	i := q.callerOrder.Iterator()
+	for !i.Done() {
+		_, caller := i.Next()
+		requests, _ := q.requestsByCaller.Get(caller)
+		r := *requests.Get(0)
+		if !mayTake(r) {
+			continue
+		}
+		q.depth--
+		q.callerOrder = removeCaller(q.callerOrder, caller)
+		if requests.Len() == 1 {
+			q.requestsByCaller = q.requestsByCaller.Delete(caller)
+			return r, q, true
+		}
+		q.requestsByCaller = q.requestsByCaller.Set(caller, requests.Slice(1, requests.Len()))
+		q.callerOrder = q.callerOrder.Append(caller)
+		return r, q, true
 	}
-	q.requestsByCaller = q.requestsByCaller.Set(caller, requests.Slice(1, requests.Len()))
-	q.callerOrder = q.callerOrder.Append(caller)
-	return r, q
+	return rosemarylb.Request{}, q, false
 }
 
 // withoutRequest returns the queue without a request, false if it is not in the
--- a/request.go
+++ b/request.go
@@ -72,6 +72,9 @@
 	Caller string
 	// Rank is the priority class.
 	Rank Rank
+	// Weight is the caller's share of the service time among the callers of a rank:
+	// one of weight 2 gets twice the time of one of weight 1. 0 stands for 1.
+	Weight int
 	// Class is the effect of the request.
 	Class Class
 	// Floor is the minimum position that a read must see.
