Hold connections of teams at few owners, relay through them

Connections to endpoints belong to a team. Owners are chosen by rendezvous hashing in the failure domain of the endpoint, each team ranks them, an owner replaces the connection that has been idle for longest, and sends an endpoint no more statements than it has slots. Reads of replicas are relayed with the position that the replica needs.

Deployments without teams keep their code path.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -10,6 +10,7 @@
 
 	"rosemarylb/internal/experiment/flood"
 	"rosemarylb/internal/experiment/membership"
+	"rosemarylb/internal/experiment/ownership"
 	"rosemarylb/internal/experiment/path"
 	"rosemarylb/internal/experiment/report"
 	"rosemarylb/internal/experiment/soak"
@@ -27,6 +28,7 @@
 	Idle       idleCommand       `command:"rest" description:"Measure what control costs a fleet at rest"`
 	Soak       soakCommand       `command:"soak" description:"Run instances as processes, harm them and check what callers see"`
 	Membership membershipCommand `command:"membership" description:"Measure membership in fleets of several sizes"`
+	Ownership  ownershipCommand  `command:"ownership" description:"Model who holds connections that belong to teams"`
 }
 
 type floodCommand struct {
@@ -49,6 +51,33 @@
 	return table.Flush()
 }
 
+type ownershipCommand struct {
+	Seed    uint64  `long:"seed" default:"1" description:"seed of the arrivals"`
+	Seconds float64 `long:"seconds" default:"300" description:"how long each case is played"`
+}
+
+// Execute implements flags.Commander.
+func (c *ownershipCommand) Execute([]string) error {
+	table := report.NewTable(os.Stdout, "operations/s", "idle-s", "owners", "open", "openings/s", "relayed-%", "blocked-%")
+	for _, perSecond := range []float64{30, 60, 120} {
+		for _, idle := range []float64{3, 15} {
+			for _, owners := range []int{0, 2, 4, 8} {
+				r := ownership.Run(ownership.Options{
+					Instances:   80,
+					Teams:       82,
+					Connections: 69,
+					PerSecond:   perSecond,
+					IdleSeconds: idle,
+					Owners:      owners,
+					Seed:        c.Seed,
+				}, c.Seconds)
+				table.AddRow(perSecond, idle, owners, r.Open, r.OpeningsPerSecond, r.RelayedPercent, r.BlockedPercent)
+			}
+		}
+	}
+	return table.Flush()
+}
+
 type membershipCommand struct {
 	Sizes            []int  `long:"size" description:"number of instances; may be repeated"`
 	PartitionSeconds int    `long:"cut" default:"20" description:"seconds for which the regions lose each other"`
--- a/internal/peer/instance/notification.go
+++ b/internal/peer/instance/notification.go
@@ -33,6 +33,7 @@
 	for _, p := range reply.GetPeers() {
 		peers[p.GetAddress()] = rosemarylb.RelayPeer{
 			Address: p.GetAddress(),
+			Domain:  rosemarylb.DomainName(p.GetDomain()),
 			Region:  rosemarylb.RegionName(p.GetRegion()),
 		}
 	}
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -266,6 +266,7 @@
 		Address:      pr.address,
 		RelayAddress: pr.relayPeer.Address,
 		Region:       string(pr.relayPeer.Region),
+		Domain:       string(pr.relayPeer.Domain),
 		PeersVersion: pr.peersVersion,
 
 		EndpointsVersion: pr.endpointsVersion,
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -79,6 +79,7 @@
 		Address:         request.GetAddress(),
 		Peer: rosemarylb.RelayPeer{
 			Address: request.GetRelayAddress(),
+			Domain:  rosemarylb.DomainName(request.GetDomain()),
 			Region:  rosemarylb.RegionName(request.GetRegion()),
 		},
 		CatalogVersion: request.GetCatalogVersion(),
@@ -158,6 +159,7 @@
 	for _, p := range update.Added {
 		encoded.Peers = append(encoded.Peers, &link.Peer{
 			Address: p.Address,
+			Domain:  string(p.Domain),
 			Region:  string(p.Region),
 		})
 	}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -155,6 +155,7 @@
 		}))
 	relayPeer := rosemarylb.RelayPeer{
 		Address: id.RelayAddress,
+		Domain:  id.Domain,
 		Region:  id.Region,
 	}
 	i.addDuty(instance.NewPermitRequester(id.Instance, i.clock, p.Store, i.keeperRunner, i.proxy,
--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -45,13 +45,16 @@
 		// The configuration does not name a limit.
 		return 1
 	}
+	if p.usesTeams() {
+		return p.teamConnectionLimit(ep)
+	}
 	offset := 0
 	for _, char := range ep.spec.ID {
 		offset += int(char)
 	}
 	connections := ep.usableConnections()
 	near := p.peersInRegion(ep.spec.Region)
-	if near == 0 || 2*len(p.peers) < p.share.Members {
+	if !p.knowsPeersOf(ep) {
 		if connections < p.share.Members {
 			return p.provisionalConnections(ep)
 		}
@@ -75,6 +78,12 @@
 	}
 }
 
+// knowsPeersOf reports whether this instance knows most instances, and one at least in
+// the region of an endpoint.
+func (p *Proxy) knowsPeersOf(ep *endpointPool) bool {
+	return p.peersInRegion(ep.spec.Region) > 0 && 2*len(p.peers) >= p.share.Members
+}
+
 // peersInRegion returns the number of instances in a region that accept relayed
 // queries.
 func (p *Proxy) peersInRegion(r rosemarylb.RegionName) int {
@@ -93,13 +102,19 @@
 // that the endpoint may be unreachable from this instance.
 func (ep *endpointPool) openStalled(now time.Time) bool {
 	for _, c := range ep.connections {
-		if c.state == connectionOpening && !c.isRelayed() && now.After(c.expiresAt.Add(openStallThreshold-openTimeout)) {
+		if c.state == connectionOpening && !c.isRelayed() && c.openStalled(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// openStalled reports whether the connection, which is being opened, takes unusually
+// long.
+func (c *connection) openStalled(now time.Time) bool {
+	return now.After(c.expiresAt.Add(openStallThreshold - openTimeout))
+}
+
 // openDirect opens another direct connection, unless the limit is reached or
 // two connections are already opening.
 func (p *Proxy) openDirect(ep *endpointPool, now time.Time) {
@@ -142,7 +157,7 @@
 		return
 	}
 	c.state = connectionIdle
-	c.expiresAt = now.Add(idleConnectionTimeout)
+	c.expiresAt = now.Add(p.idleTimeout())
 	c.current = nil
 	c.session = nil
 	ep := c.pool
@@ -153,6 +168,14 @@
 	p.dispatch(ep.group, now)
 }
 
+// idleTimeout returns how long a connection may stay idle.
+func (p *Proxy) idleTimeout() time.Duration {
+	if p.usesTeams() {
+		return teamIdleTimeout
+	}
+	return idleConnectionTimeout
+}
+
 // rollBack detaches a connection from its session and rolls back its
 // transaction.
 func (p *Proxy) rollBack(c *connection, now time.Time) {
@@ -209,7 +232,7 @@
 		"code", e.Code.String())
 	switch {
 	case c.isRelayed():
-		ep.handleRelayLost(c, e.Code, now)
+		p.handleRelayLost(c, e.Code, now)
 	case e.Code == rosemarylb.ReplyConnectionLimit:
 		ep.softLimit = max(ep.directCount(), 1)
 		ep.softLimitUntil = now.Add(softLimitDuration)
--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -26,7 +26,10 @@
 			Kind:        kind,
 			MinPosition: query.MinPosition,
 		})
-		query = query.WithMinPosition(rosemarylb.Position{})
+		if !c.isRelayed() {
+			// The other instance begins the transaction with the first statement.
+			query = query.WithMinPosition(rosemarylb.Position{})
+		}
 	}
 	pq.steps = append(pq.steps, query)
 	p.sendStep(pq, now)
@@ -46,7 +49,7 @@
 	case pq.inTransaction && !pq.needsBegin:
 		// A transaction keeps the term that it began in.
 		pq.term = c.term
-	case c.pool.spec.ID == g.permit.Primary:
+	case c.pool.spec.ID == g.permit.Primary && !pq.query.OnReplica:
 		pq.term = g.permit.Term
 	}
 }
@@ -55,13 +58,17 @@
 // position that the replica must have applied.
 func (p *Proxy) queryForEndpoint(pq *pendingQuery, c *connection) rosemarylb.Query {
 	g := c.pool.group
-	if c.pool.spec.ID == g.permit.Primary || pq.inTransaction && !pq.needsBegin {
+	if c.pool.spec.ID == g.permit.Primary || pq.inTransaction && !pq.needsBegin || pq.isRelayed() {
 		return pq.query
 	}
 	required, covered := g.samples.RequiredPosition(pq.asOf, pq.session.state.Floor())
 	rosemarylb.Invariantf(covered, "%s was assigned to a replica without a required position", pq.query.ID)
 	pq.requiredPosition = required
-	return pq.query.WithMinPosition(required)
+	query := pq.query.WithMinPosition(required)
+	if c.isRelayed() {
+		query = query.WithOnReplica()
+	}
+	return query
 }
 
 // sendStep sends the next step of a query. Once the last step, the query
@@ -205,6 +212,10 @@
 		return
 	}
 	p.deliver(pq, r, now)
+	if p.catalog.Authenticates() {
+		// A connection that stays pinned frees the place of a running statement.
+		p.dispatch(ep.group, now)
+	}
 }
 
 // pinOrRelease keeps the connection pinned to the session while its transaction
@@ -252,12 +263,18 @@
 	if code == rosemarylb.ReplyDone || pq.attempts >= maxAttempts || !now.Before(pq.deadline) {
 		return false
 	}
-	if pq.inTransaction && !pq.needsBegin {
+	if pq.inTransaction && !pq.needsBegin || pq.returnsLagging(code) {
 		return false
 	}
 	return code.NotRun() || code == rosemarylb.ReplyAborted
 }
 
+// returnsLagging reports whether a query is answered that its endpoint lags: the
+// instance that relayed it chooses another endpoint.
+func (pq *pendingQuery) returnsLagging(code rosemarylb.ReplyCode) bool {
+	return pq.isRelayed() && code == rosemarylb.ReplyReplicaLagging
+}
+
 const (
 	// busyBackoff is the delay before a retry after an endpoint was busy or a
 	// connection failed.
@@ -278,6 +295,10 @@
 		p.complete(pq, unauthenticatedReply(), now)
 		return
 	}
+	if pq.returnsLagging(code) {
+		p.complete(pq, rosemarylb.NewReply(code, "the replica lags"), now)
+		return
+	}
 	retriesTotal.Inc()
 	g := ep.group
 	backoff := time.Duration(0)
--- a/internal/traffic/proxy/outcome.go
+++ b/internal/traffic/proxy/outcome.go
@@ -28,7 +28,11 @@
 		if !p.mayRun(ep, primary, now) || now.Before(ep.laggingUntil) {
 			continue
 		}
-		n += min(p.connectionLimit(ep), max(ep.spec.Slots, 1))
+		slots := max(ep.spec.Slots, 1)
+		if !p.usesTeams() {
+			slots = min(p.connectionLimit(ep), slots)
+		}
+		n += slots
 	}
 	return max(n, 1)
 }
@@ -260,6 +264,8 @@
 func (p *Proxy) closeTimedOut(c *connection, now time.Time) {
 	if !c.isRelayed() {
 		p.recordFailure(c.pool, now)
+	} else if p.usesTeams() {
+		c.pool.rejectRelay(c.via, now.Add(relayBackoff), now)
 	}
 	p.closeBusy(c, now)
 }
--- a/internal/traffic/proxy/owner.go
+++ b/internal/traffic/proxy/owner.go
@@ -89,14 +89,23 @@
 // its address decides, so how many may open one varies; three quarters of the
 // number of owners are expected.
 func (p *Proxy) provisionalConnections(ep *endpointPool) int {
-	weight := placement.Weight(rosemarylb.InstanceID(p.address), string(ep.spec.ID))
-	expected := ownerCount(ep.usableConnections()) * 3 / 4
-	if weight < math.MaxUint64/uint64(p.share.Members)*uint64(expected) {
+	if p.isProvisionalOwner(ep, ownerCount(ep.usableConnections())) {
 		return 1
 	}
 	return 0
 }
 
+// isProvisionalOwner reports whether the hash of this instance's address makes it one of
+// a number of owners of an endpoint.
+func (p *Proxy) isProvisionalOwner(ep *endpointPool, owners int) bool {
+	expected := max(owners*3/4, 1)
+	if expected >= p.share.Members {
+		return true
+	}
+	weight := placement.Weight(rosemarylb.InstanceID(p.address), string(ep.spec.ID))
+	return weight < math.MaxUint64/uint64(p.share.Members)*uint64(expected)
+}
+
 // relayCandidates returns the addresses of the instances in the region of an
 // endpoint through which a relay connection may be opened: its owners, if there is
 // less than one connection for each instance of the region.
--- a/internal/traffic/proxy/pipeline.go
+++ b/internal/traffic/proxy/pipeline.go
@@ -11,9 +11,10 @@
 const maxPipelinedReads = 3
 
 // pipelineTarget returns the connection to an endpoint in another region with
-// the fewest pipelined reads, nil if none can take another read.
+// the fewest pipelined reads, nil if none can take another read. Connections of teams
+// take none: their owners are near the endpoint.
 func (p *Proxy) pipelineTarget(ep *endpointPool) *connection {
-	if ep.spec.Region == p.region {
+	if ep.spec.Region == p.region || p.usesTeams() {
 		return nil
 	}
 	var best *connection
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -32,13 +32,13 @@
 		asOf:      now.Add(-time.Duration(s.route.StalenessMillis) * time.Millisecond),
 		deadline:  now.Add(time.Duration(s.route.TimeoutMillis) * time.Millisecond),
 	}
-	if s.relayEndpoint != "" {
-		pq.team = q.Team
-	}
 	d := s.state
 	pq.inTransaction = d.TransactionState() == rosemarylb.TransactionOpen
 	pq.needsBegin = pq.inTransaction && !d.TransactionStarted()
 	switch {
+	case pq.isRelayed():
+		pq.team = q.Team
+		pq.needsPrimary = !q.OnReplica
 	case s.route.Consistency == rosemarylb.ConsistencyPrimary:
 		pq.needsPrimary = true
 	case pq.inTransaction:
@@ -99,15 +99,12 @@
 // chooseReadEndpoint returns the available endpoint with the lowest read cost
 // that may serve a read, nil if there is none.
 func (p *Proxy) chooseReadEndpoint(g *group, pq *pendingQuery, now time.Time) *endpointPool {
-	required, covered := g.samples.RequiredPosition(pq.asOf, pq.session.state.Floor())
-	primary := p.primary(g, now)
+	if pq.isRelayed() {
+		return p.relayTarget(pq, now)
+	}
 	var best *endpointPool
 	for _, ep := range g.pools {
-		if !p.acceptsReads(ep, now) || pq.excludes(ep.spec.ID) ||
-			ep.count(connectionIdle) == 0 && p.pipelineTarget(ep) == nil {
-			continue
-		}
-		if ep != primary && (!covered || ep.spec.ID == g.permit.Primary || ep.lacksPosition(required, now)) {
+		if !p.canTake(ep, pq, now) || !p.mayServeRead(ep, pq, now) {
 			continue
 		}
 		if best == nil || p.readCost(ep) < p.readCost(best) {
@@ -121,6 +118,27 @@
 	return best
 }
 
+// canTake reports whether an endpoint has a connection on which a query can be sent now.
+func (p *Proxy) canTake(ep *endpointPool, pq *pendingQuery, now time.Time) bool {
+	if p.usesTeams() {
+		return p.teamPathTo(ep, pq, now).connection != nil
+	}
+	return ep.count(connectionIdle) > 0 || p.pipelineTarget(ep) != nil
+}
+
+// mayServeRead reports whether an endpoint may serve a read: the primary under a valid
+// permit, or a replica that is not known to lag behind the position that the read needs.
+func (p *Proxy) mayServeRead(ep *endpointPool, pq *pendingQuery, now time.Time) bool {
+	if !p.acceptsReads(ep, now) || pq.excludes(ep.spec.ID) {
+		return false
+	}
+	if ep == p.primary(ep.group, now) {
+		return true
+	}
+	required, covered := ep.group.samples.RequiredPosition(pq.asOf, pq.session.state.Floor())
+	return covered && ep.spec.ID != ep.group.permit.Primary && !ep.lacksPosition(required, now)
+}
+
 // lacksPosition reports whether a replica is known to lag behind a position.
 // Once the lag backoff has passed, the replica is tried again.
 func (ep *endpointPool) lacksPosition(required rosemarylb.Position, now time.Time) bool {
@@ -132,15 +150,24 @@
 // initialLatency.
 func (p *Proxy) openNearer(g *group, pq *pendingQuery, best *endpointPool, now time.Time) {
 	for _, ep := range g.pools {
-		if ep == best || pq.excludes(ep.spec.ID) || !p.acceptsReads(ep, now) || ep.count(connectionIdle) > 0 {
+		if ep == best || pq.excludes(ep.spec.ID) || !p.acceptsReads(ep, now) || p.canTake(ep, pq, now) {
 			continue
 		}
 		if best == nil || p.readCost(ep)+initialLatency < p.readCost(best) {
-			p.openDirect(ep, now)
+			p.openTo(ep, pq, now)
 		}
 	}
 }
 
+// openTo opens a connection to an endpoint for a query.
+func (p *Proxy) openTo(ep *endpointPool, pq *pendingQuery, now time.Time) {
+	if p.usesTeams() {
+		p.follow(p.teamPathTo(ep, pq, now), ep, pq.team, now)
+		return
+	}
+	p.openDirect(ep, now)
+}
+
 // readCost returns the expected time for an endpoint to answer a read.
 func (p *Proxy) readCost(ep *endpointPool) time.Duration {
 	cost := ep.stats.latency
@@ -162,6 +189,10 @@
 // place runs a query on the most suitable idle connection to an endpoint, or
 // pipelines it behind another read.
 func (p *Proxy) place(pq *pendingQuery, ep *endpointPool, now time.Time) {
+	if p.usesTeams() {
+		p.placeForTeam(pq, ep, now)
+		return
+	}
 	var best *connection
 	for _, c := range ep.connections {
 		if c.state != connectionIdle || !pq.canUse(c) {
@@ -183,6 +214,16 @@
 	p.pipelineRead(pq, c, now)
 }
 
+// placeForTeam runs a query on a connection of its team, or through an owner.
+func (p *Proxy) placeForTeam(pq *pendingQuery, ep *endpointPool, now time.Time) {
+	path := p.teamPathTo(ep, pq, now)
+	if path.connection == nil {
+		p.delay(ep.group, pq, now.Add(placementDelay))
+		return
+	}
+	p.execute(pq, path.connection, now)
+}
+
 // affinity ranks a connection for a query, the highest first: one with the
 // settings of the session, one without settings, one that needs a reset, a
 // relay.
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -116,15 +116,43 @@
 // a relay connection for a query that was not relayed itself.
 func (pq *pendingQuery) canUse(c *connection) bool {
 	if c.isRelayed() {
-		return pq.session.relayEndpoint == ""
+		return !pq.isRelayed()
 	}
 	return c.team == pq.team
 }
 
+// relayTarget returns the endpoint that a relayed query names, nil if it does not accept
+// reads now.
+func (p *Proxy) relayTarget(pq *pendingQuery, now time.Time) *endpointPool {
+	ep, found := p.pools[pq.session.relayEndpoint]
+	if !found || !p.acceptsReads(ep, now) {
+		return nil
+	}
+	return ep
+}
+
+// relayRejection returns the reply to a relayed query that this instance cannot run on
+// an endpoint, or on none, so that the other instance chooses another way. It returns
+// false if the query may run or wait.
+func (p *Proxy) relayRejection(pq *pendingQuery, ep *endpointPool) (rosemarylb.Reply, bool) {
+	switch {
+	case !pq.isRelayed(), ep == nil && pq.needsPrimary:
+		return rosemarylb.Reply{}, false
+	case ep == nil:
+		return rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: the endpoint is not available"), true
+	case pq.targetsOtherPrimary(ep):
+		return rosemarylb.NewReply(rosemarylb.ReplyReadOnly, "the endpoint does not lead"), true
+	case p.usesTeams() && ep.directCount() == 0 && p.connectionLimit(ep) == 0:
+		return rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: no connection to the endpoint"), true
+	default:
+		return rosemarylb.Reply{}, false
+	}
+}
+
 // targetsOtherPrimary reports whether the query was relayed for a primary other
 // than the given endpoint.
 func (pq *pendingQuery) targetsOtherPrimary(ep *endpointPool) bool {
-	return pq.session.relayEndpoint != "" && pq.session.relayEndpoint != ep.spec.ID
+	return pq.isRelayed() && pq.session.relayEndpoint != ep.spec.ID
 }
 
 // openRelay opens a connection to a primary through another instance in its
@@ -175,23 +203,36 @@
 			return true
 		}
 	}
+	if p.usesTeams() {
+		return !ep.removed && p.connectionLimit(ep) > 0
+	}
 	return ep.canOpen(p.connectionLimit(ep), now)
 }
 
 // handleRelayLost records that a relay connection was lost, or rejected by an
-// instance that cannot reach the endpoint itself.
-func (ep *endpointPool) handleRelayLost(c *connection, code rosemarylb.ReplyCode, now time.Time) {
+// instance that cannot reach the endpoint itself. Where connections belong to teams, the
+// other owners are still asked.
+func (p *Proxy) handleRelayLost(c *connection, code rosemarylb.ReplyCode, now time.Time) {
+	ep, until := c.pool, now.Add(relayRejectionBackoff)
 	if code != rosemarylb.ReplyBusy {
-		ep.nextRelayAt = now.Add(relayBackoff)
-		return
+		until = now.Add(relayBackoff)
+		if !p.usesTeams() {
+			ep.nextRelayAt = until
+			return
+		}
 	}
+	ep.rejectRelay(c.via, until, now)
+}
+
+// rejectRelay passes over the instance at an address for a time.
+func (ep *endpointPool) rejectRelay(address string, until, now time.Time) {
 	if ep.relayRejectedUntil == nil {
 		ep.relayRejectedUntil = map[string]time.Time{}
 	}
-	maps.DeleteFunc(ep.relayRejectedUntil, func(_ string, until time.Time) bool {
-		return !now.Before(until)
+	maps.DeleteFunc(ep.relayRejectedUntil, func(_ string, ended time.Time) bool {
+		return !now.Before(ended)
 	})
-	ep.relayRejectedUntil[c.via] = now.Add(relayRejectionBackoff)
+	ep.relayRejectedUntil[address] = until
 }
 
 // closeRelays closes the relay connections to a former primary: relays forward
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -52,6 +52,11 @@
 	return pq.session.current != pq
 }
 
+// isRelayed reports whether another instance passed the query on to this one.
+func (pq *pendingQuery) isRelayed() bool {
+	return pq.session.relayEndpoint != ""
+}
+
 // isIdempotent reports whether the query can safely run twice.
 func (pq *pendingQuery) isIdempotent() bool {
 	return !pq.query.Writes && pq.query.Kind != rosemarylb.QueryCommit
@@ -135,6 +140,7 @@
 	softLimit      int
 	softLimitUntil time.Time
 	owners         endpointOwners
+	teamOwners     teamOwners
 	// relayRejectedUntil is, for the address of each instance that rejected a
 	// relay connection to the endpoint, the time until which it is not asked again.
 	relayRejectedUntil map[string]time.Time
--- a/member.go
+++ b/member.go
@@ -66,7 +66,9 @@
 type RelayPeer struct {
 	// Address is the host:port for relayed queries.
 	Address string
-	// Region is the region of the instance.
+	// Domain is the failure domain of the instance.
+	Domain DomainName
+	// Region is the region of the domain.
 	Region RegionName
 }
 
--- a/query.go
+++ b/query.go
@@ -79,6 +79,8 @@
 	Rank Rank
 	// Team is the team of the caller of a relayed query, empty if it has none.
 	Team TeamName
+	// OnReplica is true for a relayed query that may run while its endpoint is a replica.
+	OnReplica bool
 	// TimeoutMillis is the time left until the deadline of a relayed query, in
 	// milliseconds.
 	TimeoutMillis int64
@@ -98,6 +100,12 @@
 	return q
 }
 
+// WithOnReplica returns the query to relay to an endpoint that is a replica.
+func (q Query) WithOnReplica() Query {
+	q.OnReplica = true
+	return q
+}
+
 // WithName returns the query with another name.
 func (q Query) WithName(name string) Query {
 	q.Name = name
