Queue: callers of a rank take turns by service time and weight

Turns went by count, so a caller with statements of 30 ms got five times the time of one with 6 ms. The queue now keeps a virtual clock for each rank and serves the caller that has received least service time, divided by its weight. A request is charged with the rank's mean when it is taken and corrected when it was served. A caller without requests earns no claim; one that was passed over claims at most 100 ms afterwards.

--- a/internal/traffic/queue/priority_queue.go
+++ b/internal/traffic/queue/priority_queue.go
@@ -23,7 +23,8 @@
 
 // PriorityQueue is an immutable queue that serves the most urgent rank first, but
 // guarantees each waiting rank a minimum share of the service time, which it
-// tracks with a credit per rank. With load shedding it rejects requests that are
+// tracks with a credit per rank. Within a rank, callers take turns by service time
+// and weight. With load shedding it rejects requests that are
 // expected to miss their deadlines before they are sent to the endpoint.
 type PriorityQueue struct {
 	queues          [rosemarylb.RankCount]rankQueue
@@ -119,7 +120,7 @@
 // share waits at most as long as its own requests take at that share.
 func (q PriorityQueue) expectedDelay(r rosemarylb.Request) time.Duration {
 	rank := r.Rank
-	ownWork := time.Duration(q.queues[rank].requestsAhead(r.Caller)) * q.meanServiceTime[rank]
+	ownWork := q.queues[rank].workAhead(r, q.meanServiceTime[rank])
 	work := ownWork
 	for higher := range rank {
 		work += time.Duration(q.queues[higher].depth) * q.meanServiceTime[higher]
@@ -145,8 +146,7 @@
 				Expired: expired,
 			}, q
 		}
-		var r rosemarylb.Request
-		r, q.queues[rank], found = q.queues[rank].pop(func(r rosemarylb.Request) bool {
+		r, found := q.queues[rank].first(func(r rosemarylb.Request) bool {
 			return eligible == nil || q.missesDeadline(r, now) || eligible(r)
 		})
 		if !found {
@@ -155,8 +155,10 @@
 		}
 		if q.missesDeadline(r, now) {
 			expired = append(expired, r)
+			q.queues[rank], _ = q.queues[rank].withoutRequest(r.ID)
 			continue
 		}
+		q.queues[rank] = q.queues[rank].withTurn(r, q.meanServiceTime[rank])
 		return rosemarylb.Dispatch{
 			Found:   true,
 			Request: r,
@@ -220,10 +222,12 @@
 
 // WithServed implements rosemarylb.Queue. Every waiting rank is credited with its
 // minimum share of the service time, and the served rank is charged with all of
-// it.
+// it. The caller has been charged with the mean service time when its request was
+// taken, so that several slots do not all go to the same caller.
 func (q PriorityQueue) WithServed(r rosemarylb.Request, serviceTime time.Duration) rosemarylb.Queue {
 	rank := r.Rank
 	mean := q.meanServiceTime[rank]
+	q.queues[rank] = q.queues[rank].withService(r, serviceTime-mean)
 	q.meanServiceTime[rank] = mean + (serviceTime-mean)*serviceTimeWeightPercent/percent
 	for i := range q.queues {
 		if q.queues[i].depth == 0 && rosemarylb.Rank(i) != rank {
--- a/internal/traffic/queue/rank_queue.go
+++ b/internal/traffic/queue/rank_queue.go
@@ -8,42 +8,127 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// rankQueue is an immutable queue of the waiting requests of one rank. It serves
-// callers round-robin, so that one with many requests cannot starve the others.
+const (
+	// maxLag bounds the service time that a caller can claim afterwards because it was
+	// passed over while its requests were not eligible.
+	maxLag = 100 * time.Millisecond
+	// maxLead bounds the service time for which a caller waits until others have had as
+	// much. Without it, one statement that ran for a minute would keep its caller
+	// behind all others for a minute of each of them.
+	maxLead = time.Second
+)
+
+// rankQueue is an immutable queue of the waiting requests of one rank. Its callers
+// take turns by service time: the next request is that of the caller that has
+// received least, divided by its weight. A caller without requests earns no claim.
+// Each operation takes time logarithmic in the number of callers and requests.
 type rankQueue struct {
 	depth int
-	// callerOrder lists the callers with waiting requests, next one first.
-	callerOrder      *immutable.List[string]
-	requestsByCaller *immutable.Map[string, *immutable.List[*rosemarylb.Request]]
+	// clock is the latest virtual time at which a caller was given its turn.
+	clock    virtualTime
+	sequence uint64
+	// weight is the sum of the weights of the waiting callers.
+	weight int
+	// callers are the waiting callers, and those without requests that have received
+	// more than the clock shows.
+	callers *immutable.Map[string, callerQueue]
+	// turns are the waiting callers, the next one first.
+	turns *immutable.SortedMap[callerKey, struct{}]
+	// lengths are the waiting callers, the one with most requests first.
+	lengths *immutable.SortedMap[callerKey, struct{}]
+	// ahead are the callers without requests, the one that has received least first.
+	ahead     *immutable.SortedMap[callerKey, struct{}]
+	places    *immutable.Map[rosemarylb.RequestID, requestKey]
+	deadlines *immutable.SortedMap[requestKey, rosemarylb.RequestID]
 }
 
 func newRankQueue() rankQueue {
 	return rankQueue{
-		callerOrder:      immutable.NewList[string](),
-		requestsByCaller: immutable.NewMap[string, *immutable.List[*rosemarylb.Request]](nil),
+		callers:   immutable.NewMap[string, callerQueue](nil),
+		turns:     immutable.NewSortedMap[callerKey, struct{}](callerKeyComparer{}),
+		lengths:   immutable.NewSortedMap[callerKey, struct{}](callerKeyComparer{}),
+		ahead:     immutable.NewSortedMap[callerKey, struct{}](callerKeyComparer{}),
+		places:    immutable.NewMap[rosemarylb.RequestID, requestKey](requestIDHasher{}),
+		deadlines: immutable.NewSortedMap[requestKey, rosemarylb.RequestID](requestKeyComparer{}),
 	}
 }
 
-func (q rankQueue) withRequest(r rosemarylb.Request) rankQueue {
-	q.depth++
-	requests, found := q.requestsByCaller.Get(r.Caller)
+// caller returns the queue of a caller. One that is not known has received no more
+// than the clock shows.
+func (q rankQueue) caller(name string) callerQueue {
+	c, found := q.callers.Get(name)
 	if !found {
-		requests = immutable.NewList[*rosemarylb.Request]()
-		q.callerOrder = q.callerOrder.Append(r.Caller)
+		return newCallerQueue(name, q.clock)
+	}
+	return c
+}
+
+// withCaller replaces the queue of a caller. It forgets a caller without requests
+// that has not received more than the clock shows.
+func (q rankQueue) withCaller(c callerQueue) rankQueue {
+	was, known := q.callers.Get(c.name)
+	switch {
+	case known && was.isWaiting():
+		q.turns = q.turns.Delete(was.turnKey())
+		q.lengths = q.lengths.Delete(was.lengthKey())
+		q.weight -= was.weight
+	case known:
+		q.ahead = q.ahead.Delete(was.turnKey())
+	}
+	switch {
+	case c.isWaiting():
+		q.turns = q.turns.Set(c.turnKey(), struct{}{})
+		q.lengths = q.lengths.Set(c.lengthKey(), struct{}{})
+		q.weight += c.weight
+	case c.reached > q.clock:
+		q.ahead = q.ahead.Set(c.turnKey(), struct{}{})
+	default:
+		if known {
+			q.callers = q.callers.Delete(c.name)
+		}
+		return q
 	}
-	q.requestsByCaller = q.requestsByCaller.Set(r.Caller, requests.Append(&r))
+	q.callers = q.callers.Set(c.name, c)
 	return q
 }
 
-// requestsAhead returns an upper bound on the waiting requests that are served
-// before a new one of the caller: its own, and in round-robin order at most one
-// of each caller per request of its own, the new one included.
-func (q rankQueue) requestsAhead(caller string) int {
-	own := 0
-	if requests, found := q.requestsByCaller.Get(caller); found {
-		own = requests.Len()
+// withRequest adds a request. A caller that had none waits from the present virtual
+// time on, or from the one that it has reached if that is later.
+func (q rankQueue) withRequest(r rosemarylb.Request) rankQueue {
+	q.sequence++
+	c := q.caller(r.Caller)
+	if !c.isWaiting() {
+		c.reached = max(c.reached, q.clock)
+		c.order = q.sequence
+	}
+	c.weight = max(r.Weight, 1)
+	c.requests = c.requests.Set(q.sequence, &r)
+	key := requestKey{
+		deadline: r.QueueDeadline,
+		sequence: q.sequence,
+		caller:   r.Caller,
+	}
+	q.places = q.places.Set(r.ID, key)
+	q.deadlines = q.deadlines.Set(key, r.ID)
+	q.depth++
+	return q.withCaller(c)
+}
+
+// workAhead returns an upper bound on the service time of the waiting requests that
+// are served before a new one of the caller, at a mean service time: its own, what
+// the others are due until then, and one request more of each other.
+func (q rankQueue) workAhead(r rosemarylb.Request, mean time.Duration) time.Duration {
+	c := q.caller(r.Caller)
+	ownWork := time.Duration(c.requests.Len()) * mean
+	others, otherWeight := q.turns.Len(), q.weight
+	if c.isWaiting() {
+		others--
+		otherWeight -= c.weight
 	}
-	return min(q.depth, own+(own+1)*q.callerOrder.Len())
+	lead := time.Duration(max(c.reached-q.clock, 0))
+	due := lead + ownWork/time.Duration(max(r.Weight, 1))
+	work := ownWork + due*time.Duration(otherWeight) + mean*time.Duration(others)
+	return min(work, time.Duration(q.depth)*mean)
 }
 
 // withEvictionFor frees a place in a full queue for a new request. It evicts the
@@ -52,118 +137,97 @@
 // the evicted request. Otherwise it returns the queue unchanged and the new
 // request.
 func (q rankQueue) withEvictionFor(r rosemarylb.Request) (rankQueue, rosemarylb.Request) {
-	own := 0
-	if requests, found := q.requestsByCaller.Get(r.Caller); found {
-		own = requests.Len()
-	}
-	var longest *immutable.List[*rosemarylb.Request]
-	i := q.requestsByCaller.Iterator()
-	for !i.Done() {
-		_, requests, _ := i.Next()
-		if requests.Len() > own+1 && (longest == nil || requests.Len() > longest.Len()) {
-			longest = requests
-		}
+	longest, _, found := q.lengths.Iterator().Next()
+	if !found {
+		return q, r
 	}
-	if longest == nil {
+	c := q.caller(longest.name)
+	if c.requests.Len() <= q.caller(r.Caller).requests.Len()+1 {
 		return q, r
 	}
-	newest := *longest.Get(longest.Len() - 1)
-	q.requestsByCaller = q.requestsByCaller.Set(newest.Caller, longest.Slice(0, longest.Len()-1))
-	q.depth--
+	newest := *c.last()
+	q, _ = q.withoutRequest(newest.ID)
 	return q, newest
 }
 
-// pop returns the next request that may be taken, and the queue without it. It is
-// false if there is none.
-func (q rankQueue) pop(mayTake func(rosemarylb.Request) bool) (rosemarylb.Request, rankQueue, bool) {
-	i := q.callerOrder.Iterator()
+// first returns the first request, in the order of the turns, that may be taken. It
+// is false if there is none.
+func (q rankQueue) first(mayTake func(rosemarylb.Request) bool) (rosemarylb.Request, bool) {
+	i := q.turns.Iterator()
 	for !i.Done() {
-		_, caller := i.Next()
-		requests, _ := q.requestsByCaller.Get(caller)
-		r := *requests.Get(0)
-		if !mayTake(r) {
-			continue
+		key, _, _ := i.Next()
+		if r := q.caller(key.name).first(); mayTake(*r) {
+			return *r, true
 		}
-		q.depth--
-		q.callerOrder = removeCaller(q.callerOrder, caller)
-		if requests.Len() == 1 {
-			q.requestsByCaller = q.requestsByCaller.Delete(caller)
-			return r, q, true
+	}
+	return rosemarylb.Request{}, false
+}
+
+// withTurn removes the request that is served next, and charges its caller with the
+// service time expected of it.
+func (q rankQueue) withTurn(r rosemarylb.Request, expected time.Duration) rankQueue {
+	reached := q.caller(r.Caller).reached
+	q, _ = q.withoutRequest(r.ID)
+	q.sequence++
+	q.clock = max(q.clock, reached)
+	c := q.caller(r.Caller)
+	c.weight = max(r.Weight, 1)
+	c.reached = max(reached, q.clock-virtualTime(maxLag)).after(expected, c.weight)
+	c.order = q.sequence
+	return q.withCaller(c).withoutCaughtUp()
+}
+
+// withService corrects the charge of a caller by the difference between the service
+// time of a request and the one that was expected.
+func (q rankQueue) withService(r rosemarylb.Request, difference time.Duration) rankQueue {
+	c := q.caller(r.Caller)
+	if !c.isWaiting() {
+		c.reached = max(c.reached, q.clock)
+	}
+	c.reached = min(c.reached.after(difference, max(r.Weight, 1)), q.clock+virtualTime(maxLead))
+	return q.withCaller(c)
+}
+
+// withoutCaughtUp forgets the callers without requests that the clock has reached.
+func (q rankQueue) withoutCaughtUp() rankQueue {
+	for q.ahead.Len() > 0 {
+		key, _, _ := q.ahead.Iterator().Next()
+		if virtualTime(key.value) > q.clock {
+			break
 		}
-		q.requestsByCaller = q.requestsByCaller.Set(caller, requests.Slice(1, requests.Len()))
-		q.callerOrder = q.callerOrder.Append(caller)
-		return r, q, true
+		q.ahead = q.ahead.Delete(key)
+		q.callers = q.callers.Delete(key.name)
 	}
-	return rosemarylb.Request{}, q, false
+	return q
 }
 
 // withoutRequest returns the queue without a request, false if it is not in the
 // queue.
 func (q rankQueue) withoutRequest(id rosemarylb.RequestID) (rankQueue, bool) {
-	i := q.requestsByCaller.Iterator()
-	for !i.Done() {
-		caller, requests, _ := i.Next()
-		remaining, found := removeRequest(requests, id)
-		if !found {
-			continue
-		}
-		q.depth--
-		if remaining.Len() > 0 {
-			q.requestsByCaller = q.requestsByCaller.Set(caller, remaining)
-			return q, true
-		}
-		q.requestsByCaller = q.requestsByCaller.Delete(caller)
-		q.callerOrder = removeCaller(q.callerOrder, caller)
-		return q, true
+	key, found := q.places.Get(id)
+	if !found {
+		return q, false
 	}
-	return q, false
+	q.places = q.places.Delete(id)
+	q.deadlines = q.deadlines.Delete(key)
+	q.depth--
+	c := q.caller(key.caller)
+	c.requests = c.requests.Delete(key.sequence)
+	return q.withCaller(c), true
 }
 
 // withoutExpired returns the queue without the requests whose QueueDeadline has
 // passed, and those requests.
 func (q rankQueue) withoutExpired(now time.Time) (rankQueue, []rosemarylb.Request) {
 	var expired []rosemarylb.Request
-	i := q.requestsByCaller.Iterator()
-	for !i.Done() {
-		_, requests, _ := i.Next()
-		j := requests.Iterator()
-		for !j.Done() {
-			if _, r := j.Next(); now.After(r.QueueDeadline) {
-				expired = append(expired, *r)
-			}
+	for q.deadlines.Len() > 0 {
+		key, id, _ := q.deadlines.Iterator().Next()
+		if !now.After(key.deadline) {
+			break
 		}
-	}
-	for _, r := range expired {
-		q, _ = q.withoutRequest(r.ID)
+		r, _ := q.caller(key.caller).requests.Get(key.sequence)
+		expired = append(expired, *r)
+		q, _ = q.withoutRequest(id)
 	}
 	return q, expired
 }
-
-func removeRequest(
-	list *immutable.List[*rosemarylb.Request], id rosemarylb.RequestID,
-) (*immutable.List[*rosemarylb.Request], bool) {
-	remaining := immutable.NewList[*rosemarylb.Request]()
-	found := false
-	i := list.Iterator()
-	for !i.Done() {
-		_, r := i.Next()
-		if r.ID == id {
-			found = true
-			continue
-		}
-		remaining = remaining.Append(r)
-	}
-	return remaining, found
-}
-
-func removeCaller(callers *immutable.List[string], caller string) *immutable.List[string] {
-	remaining := immutable.NewList[string]()
-	i := callers.Iterator()
-	for !i.Done() {
-		_, name := i.Next()
-		if name != caller {
-			remaining = remaining.Append(name)
-		}
-	}
-	return remaining
-}
