Queue: Next returns all requests that can no longer be served in time

A request was found to have missed its deadline only when its turn came, so its caller waited for the refusal behind the turns of others.

--- a/behaviour.go
+++ b/behaviour.go
@@ -38,9 +38,9 @@
 	// cannot meet its deadline. If the queue is full, it rejects the new request
 	// or a queued one.
 	WithRequest(r Request, now time.Time) (Queue, Rejection)
-	// Next removes the request to serve next, and those ahead of it that can no
-	// longer meet their deadlines. It passes over callers whose first request is
-	// not eligible; a nil function accepts all requests.
+	// Next removes the request to serve next, and every request that can no
+	// longer meet its deadline. It passes over callers whose first request is not
+	// eligible; a nil function accepts all requests.
 	Next(now time.Time, eligible func(Request) bool) (next Dispatch, rest Queue)
 	// WithoutRequest removes a request. It returns false if the request is not
 	// in the queue.
--- a/internal/traffic/queue/priority_queue.go
+++ b/internal/traffic/queue/priority_queue.go
@@ -131,49 +131,39 @@
 	return work/time.Duration(q.slots) + q.meanServiceTime[rank]
 }
 
-// Next implements rosemarylb.Queue. It skips requests that would miss their
-// deadlines and returns them as expired. A rank without an eligible request leaves
-// its turn to the others.
+// Next implements rosemarylb.Queue. A rank without an eligible request leaves its turn
+// to the others.
 func (q PriorityQueue) Next(
 	now time.Time, eligible func(rosemarylb.Request) bool,
 ) (rosemarylb.Dispatch, rosemarylb.Queue) {
-	var expired []rosemarylb.Request
+	var d rosemarylb.Dispatch
+	for i := range q.queues {
+		var expired []rosemarylb.Request
+		q.queues[i], expired = q.queues[i].withoutExpired(now.Add(q.reservedTime(rosemarylb.Rank(i))))
+		d.Expired = append(d.Expired, expired...)
+	}
 	var passed [rosemarylb.RankCount]bool
 	for {
 		rank, found := q.selectRank(passed)
 		if !found {
-			return rosemarylb.Dispatch{
-				Expired: expired,
-			}, q
-		}
-		r, found := q.queues[rank].first(func(r rosemarylb.Request) bool {
-			return eligible == nil || q.missesDeadline(r, now) || eligible(r)
-		})
-		if !found {
-			passed[rank] = true
-			continue
+			return d, q
 		}
-		if q.missesDeadline(r, now) {
-			expired = append(expired, r)
-			q.queues[rank], _ = q.queues[rank].withoutRequest(r.ID)
-			continue
+		d.Request, d.Found = q.queues[rank].first(eligible)
+		if d.Found {
+			q.queues[rank] = q.queues[rank].withTurn(d.Request, q.meanServiceTime[rank])
+			return d, q
 		}
-		q.queues[rank] = q.queues[rank].withTurn(r, q.meanServiceTime[rank])
-		return rosemarylb.Dispatch{
-			Found:   true,
-			Request: r,
-			Expired: expired,
-		}, q
+		passed[rank] = true
 	}
 }
 
-// missesDeadline reports whether a request can no longer be started in time; with
-// load shedding, whether it can no longer be served in time.
-func (q PriorityQueue) missesDeadline(r rosemarylb.Request, now time.Time) bool {
+// reservedTime returns how long before its QueueDeadline a request has to start: with
+// load shedding, early enough to be served in time.
+func (q PriorityQueue) reservedTime(rank rosemarylb.Rank) time.Duration {
 	if q.loadShedding {
-		now = now.Add(q.meanServiceTime[r.Rank])
+		return q.meanServiceTime[rank]
 	}
-	return now.After(r.QueueDeadline)
+	return 0
 }
 
 // selectRank returns the rank to serve next, false when no request waits in a rank
--- a/internal/traffic/queue/rank_queue.go
+++ b/internal/traffic/queue/rank_queue.go
@@ -150,13 +150,13 @@
 	return q, newest
 }
 
-// first returns the first request, in the order of the turns, that may be taken. It
-// is false if there is none.
-func (q rankQueue) first(mayTake func(rosemarylb.Request) bool) (rosemarylb.Request, bool) {
+// first returns the first request, in the order of the turns, that is eligible, false
+// if there is none. A nil function accepts all.
+func (q rankQueue) first(eligible func(rosemarylb.Request) bool) (rosemarylb.Request, bool) {
 	i := q.turns.Iterator()
 	for !i.Done() {
 		key, _, _ := i.Next()
-		if r := q.caller(key.name).first(); mayTake(*r) {
+		if r := q.caller(key.name).first(); eligible == nil || eligible(*r) {
 			return *r, true
 		}
 	}
