Experiment: one team at seven times its load, by queue policy

The simulation runs the real queue on the same arrivals under six policies, prints a table and draws the fates of the requests by team and rank. Random loads check that each team and rank gets an answer no later than from a server with its share of the capacity, and that no request is held past its deadline. The check found that charging callers with the moving mean of the service time drifts; the charge is constant now.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"rosemarylb/internal/experiment/contention"
 	"rosemarylb/internal/experiment/flood"
 	"rosemarylb/internal/experiment/membership"
 	"rosemarylb/internal/experiment/path"
@@ -16,6 +17,7 @@
 
 	"rosemarylb"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 )
 
@@ -26,6 +28,7 @@
 	Commit     commitCommand     `command:"commit" description:"Measure the delay of commits by replica lag"`
 	Idle       idleCommand       `command:"rest" description:"Measure what control costs a fleet at rest"`
 	Soak       soakCommand       `command:"soak" description:"Run instances as processes, harm them and check what callers see"`
+	Contention contentionCommand `command:"contention" description:"Compare queue policies while one team exceeds its load"`
 	Membership membershipCommand `command:"membership" description:"Measure membership in fleets of several sizes"`
 }
 
@@ -49,6 +52,50 @@
 	return table.Flush()
 }
 
+type contentionCommand struct {
+	Seed   uint64 `long:"seed" default:"1" description:"seed of the arrivals"`
+	Policy string `long:"policy" default:"time-admission" description:"policy that the drawing shows"`
+	SVG    string `long:"svg" description:"file for a drawing by team and rank over time; none if empty"`
+}
+
+// Execute implements flags.Commander.
+func (c *contentionCommand) Execute([]string) error {
+	load, rules := contention.NewLoad(), contention.NewRules()
+	arrivals := load.Arrivals(c.Seed)
+	table := report.NewTable(os.Stdout, "policy", "teams", "rank", "offered", "served", "late", "refused", "worth-%", "p99")
+	for _, policy := range contention.Policies() {
+		operations := contention.Run(policy, load, rules, arrivals)
+		for _, surging := range []bool{true, false} {
+			for rank := range rosemarylb.Rank(rosemarylb.RankCount) {
+				r := contention.Count(operations, rules, func(o contention.Operation) bool {
+					return o.Rank == rank && (o.Team == load.Surging) == surging
+				})
+				teams := "others"
+				if surging {
+					teams = load.Teams[load.Surging].Name
+				}
+				table.AddRow(policy.Name, teams, rank, r.Offered(), r.Served, r.Late, r.Refused, r.WorthPercent(), r.P99.Round(time.Millisecond))
+			}
+		}
+		if c.SVG != "" && policy.Name == c.Policy {
+			if err := writeDrawing(c.SVG, policy.Name, load, rules, operations); err != nil {
+				return err
+			}
+		}
+	}
+	return table.Flush()
+}
+
+func writeDrawing(
+	path, title string, l contention.Load, r contention.Rules, operations []contention.Operation,
+) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(contention.WriteSVG(file, title, l, r, operations), file.Close())
+}
+
 type membershipCommand struct {
 	Sizes            []int  `long:"size" description:"number of instances; may be repeated"`
 	PartitionSeconds int    `long:"cut" default:"20" description:"seconds for which the regions lose each other"`
--- a/internal/traffic/queue/priority_queue.go
+++ b/internal/traffic/queue/priority_queue.go
@@ -150,7 +150,7 @@
 		}
 		d.Request, d.Found = q.queues[rank].first(eligible)
 		if d.Found {
-			q.queues[rank] = q.queues[rank].withTurn(d.Request, q.meanServiceTime[rank])
+			q.queues[rank] = q.queues[rank].withTurn(d.Request)
 			return d, q
 		}
 		passed[rank] = true
@@ -212,12 +212,11 @@
 
 // WithServed implements rosemarylb.Queue. Every waiting rank is credited with its
 // minimum share of the service time, and the served rank is charged with all of
-// it. The caller has been charged with the mean service time when its request was
-// taken, so that several slots do not all go to the same caller.
+// it.
 func (q PriorityQueue) WithServed(r rosemarylb.Request, serviceTime time.Duration) rosemarylb.Queue {
 	rank := r.Rank
 	mean := q.meanServiceTime[rank]
-	q.queues[rank] = q.queues[rank].withService(r, serviceTime-mean)
+	q.queues[rank] = q.queues[rank].withService(r, serviceTime)
 	q.meanServiceTime[rank] = mean + (serviceTime-mean)*serviceTimeWeightPercent/percent
 	for i := range q.queues {
 		if q.queues[i].depth == 0 && rosemarylb.Rank(i) != rank {
--- a/internal/traffic/queue/rank_queue.go
+++ b/internal/traffic/queue/rank_queue.go
@@ -16,6 +16,11 @@
 	// much. Without it, one statement that ran for a minute would keep its caller
 	// behind all others for a minute of each of them.
 	maxLead = time.Second
+	// turnCharge is the service time that a caller is charged with until its request was
+	// served, so that several slots do not all go to the same caller. It is constant: a
+	// moving average that changes while requests run would favour the callers whose
+	// requests end when it is high.
+	turnCharge = 10 * time.Millisecond
 )
 
 // rankQueue is an immutable queue of the waiting requests of one rank. Its callers
@@ -163,28 +168,27 @@
 	return rosemarylb.Request{}, false
 }
 
-// withTurn removes the request that is served next, and charges its caller with the
-// service time expected of it.
-func (q rankQueue) withTurn(r rosemarylb.Request, expected time.Duration) rankQueue {
+// withTurn removes the request that is served next, and charges its caller with
+// turnCharge.
+func (q rankQueue) withTurn(r rosemarylb.Request) rankQueue {
 	reached := q.caller(r.Caller).reached
 	q, _ = q.withoutRequest(r.ID)
 	q.sequence++
 	q.clock = max(q.clock, reached)
 	c := q.caller(r.Caller)
 	c.weight = max(r.Weight, 1)
-	c.reached = max(reached, q.clock-virtualTime(maxLag)).after(expected, c.weight)
+	c.reached = max(reached, q.clock-virtualTime(maxLag)).after(turnCharge, c.weight)
 	c.order = q.sequence
 	return q.withCaller(c).withoutCaughtUp()
 }
 
-// withService corrects the charge of a caller by the difference between the service
-// time of a request and the one that was expected.
-func (q rankQueue) withService(r rosemarylb.Request, difference time.Duration) rankQueue {
+// withService replaces the charge of a caller for a request by its service time.
+func (q rankQueue) withService(r rosemarylb.Request, service time.Duration) rankQueue {
 	c := q.caller(r.Caller)
 	if !c.isWaiting() {
 		c.reached = max(c.reached, q.clock)
 	}
-	c.reached = min(c.reached.after(difference, max(r.Weight, 1)), q.clock+virtualTime(maxLead))
+	c.reached = min(c.reached.after(service-turnCharge, max(r.Weight, 1)), q.clock+virtualTime(maxLead))
 	return q.withCaller(c)
 }
 
