--- a/internal/traffic/placement/choice.go
+++ b/internal/traffic/placement/choice.go
@@ -21,51 +21,37 @@
 	return now.Add(2*latency + service + wait)
 }
 
-// Choose draws two candidates by their weights and returns the index of the one with
-// the earlier finish, so that instances that decide on the same knowledge do not all
-// choose alike. Candidates that finish later than the best by more than the margin are
-// drawn only if no other has a weight. The two random numbers are in [0, 1). It returns
-// -1 if no candidate has a weight.
+// Choose draws two candidates by their weights and returns the index of the first, or
+// of the second if that one finishes earlier by more than the margin. The margin is a
+// part of the age of what the instance knows of the endpoints, about a third: their
+// queues have changed meanwhile, and instances that all act on a smaller difference move
+// the queue from one endpoint to the next. The candidates should have the same distance,
+// which a margin would hide. The two random numbers are in [0, 1). Choose returns -1 if
+// no candidate has a weight.
 //
 // It is designed for groups of up to 20 endpoints and 100 instances whose knowledge of
 // the others' requests is up to 120 ms old.
 func Choose(candidates []Candidate, margin time.Duration, first, second float64) int {
-	limit, found := limitOf(candidates, margin)
-	if !found {
-		return -1
-	}
-	a := draw(candidates, -1, limit, first)
-	b := draw(candidates, a, limit, second)
-	if b >= 0 && candidates[b].FinishAt.Before(candidates[a].FinishAt) {
+	a := draw(candidates, -1, first)
+	b := draw(candidates, a, second)
+	if b >= 0 && candidates[b].FinishAt.Add(margin).Before(candidates[a].FinishAt) {
 		return b
 	}
 	return a
 }
 
-// limitOf returns the latest finish of candidates to draw, false if none has a weight.
-func limitOf(candidates []Candidate, margin time.Duration) (time.Time, bool) {
-	var best time.Time
-	found := false
-	for _, c := range candidates {
-		if c.Weight > 0 && (!found || c.FinishAt.Before(best)) {
-			best, found = c.FinishAt, true
-		}
-	}
-	return best.Add(margin), found
-}
-
-// draw returns the index of a random candidate that finishes by the limit, other than
-// the excluded one, with a probability in proportion to its weight, -1 if there is none.
-func draw(candidates []Candidate, excluded int, limit time.Time, random float64) int {
+// draw returns the index of a random candidate other than the excluded one, with a
+// probability in proportion to its weight, -1 if there is none.
+func draw(candidates []Candidate, excluded int, random float64) int {
 	total := 0.0
 	for i, c := range candidates {
-		if i != excluded && !c.FinishAt.After(limit) {
+		if i != excluded {
 			total += c.Weight
 		}
 	}
 	last, remaining := -1, random*total
 	for i, c := range candidates {
-		if i == excluded || c.FinishAt.After(limit) || c.Weight <= 0 {
+		if i == excluded || c.Weight <= 0 {
 			continue
 		}
 		last = i
--- a/internal/traffic/placement/choice_test.go
+++ b/internal/traffic/placement/choice_test.go
@@ -10,11 +10,11 @@
 
 func TestChooseRespectsWeightsAndMargin(t *testing.T) {
 	const margin = 20 * time.Millisecond
-	near := Candidate{
+	early := Candidate{
 		FinishAt: start.Add(10 * time.Millisecond),
 		Weight:   1,
 	}
-	far := Candidate{
+	late := Candidate{
 		FinishAt: start.Add(60 * time.Millisecond),
 		Weight:   1,
 	}
@@ -28,8 +28,8 @@
 			candidates []Candidate
 			want       int
 		}{
-			{[]Candidate{far, near}, 1},
-			{[]Candidate{ejected, far}, 1},
+			{[]Candidate{late, early}, 1},
+			{[]Candidate{ejected, late}, 1},
 			{[]Candidate{ejected}, -1},
 			{nil, -1},
 		} {
@@ -40,44 +40,39 @@
 	}
 }
 
-func TestInstancesWithOldKnowledgeSpreadTheirRequests(t *testing.T) {
-	// 80 instances send 300 reads a second in total to 3 endpoints with 4 slots. Each
-	// knows the load of 120 ms ago and its own requests. If all chose the best endpoint,
-	// the queue would move from one to the next.
+const (
+	slots   = 4
+	service = 18 * time.Millisecond
+	step    = time.Millisecond
+	// reportSteps is the age of the oldest knowledge, in steps.
+	reportSteps = 120
+)
+
+// waiting is a request at an endpoint.
+type waiting struct {
+	instance int
+	left     int
+}
+
+// simulate sends reads of 80 instances to endpoints with the given slots. Each instance
+// knows the load at the last report and its own requests. It returns the requests to
+// each endpoint and the depth of the longest queue.
+func simulate(perSecond float64, slotCounts []int) (served []int, deepest int) {
 	const (
 		instances = 80
-		slots     = 4
-		service   = 18 * time.Millisecond
-		step      = time.Millisecond
 		steps     = 30_000
-		reportAge = 120
-		perSecond = 300.0
 	)
-	type request struct {
-		instance int
-		left     int
-	}
 	random := rand.New(rand.NewPCG(1, 1))
-	var queues [3][]request
-	var known, served [3]int
-	deepest := 0
+	queues, known := make([][]waiting, len(slotCounts)), make([]int, len(slotCounts))
+	served = make([]int, len(slotCounts))
 	for n := range steps {
 		now := start.Add(time.Duration(n) * step)
 		for e := range queues {
-			if n%reportAge == 0 {
+			if n%reportSteps == 0 {
 				known[e] = len(queues[e])
 			}
-			kept := queues[e][:0]
-			for i, r := range queues[e] {
-				if i < slots {
-					r.left--
-				}
-				if r.left > 0 {
-					kept = append(kept, r)
-				}
-			}
-			queues[e] = kept
-			deepest = max(deepest, len(kept)-slots)
+			queues[e] = advance(queues[e], slotCounts[e])
+			deepest = max(deepest, len(queues[e])-slotCounts[e])
 		}
 		if random.Float64() >= perSecond*step.Seconds() {
 			continue
@@ -85,24 +80,44 @@
 		instance := random.IntN(instances)
 		var candidates []Candidate
 		for e := range queues {
-			own := 0
+			ahead := known[e]
 			for _, r := range queues[e] {
 				if r.instance == instance {
-					own++
+					ahead++
 				}
 			}
 			candidates = append(candidates, Candidate{
-				FinishAt: ExpectedFinish(now, service, 0, slots, known[e]+own),
+				FinishAt: ExpectedFinish(now, service, 0, slots, ahead),
 				Weight:   1,
 			})
 		}
-		chosen := Choose(candidates, service, random.Float64(), random.Float64())
+		chosen := Choose(candidates, reportSteps*step/3, random.Float64(), random.Float64())
 		served[chosen]++
-		queues[chosen] = append(queues[chosen], request{
+		queues[chosen] = append(queues[chosen], waiting{
 			instance: instance,
 			left:     int(service/step/2) + random.IntN(int(service/step)),
 		})
 	}
+	return served, deepest
+}
+
+// advance serves the first requests of a queue for one step.
+func advance(queue []waiting, slots int) []waiting {
+	kept := queue[:0]
+	for i, r := range queue {
+		if i < slots {
+			r.left--
+		}
+		if r.left > 0 {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+func TestInstancesWithOldKnowledgeSpreadTheirRequests(t *testing.T) {
+	// If all chose the best endpoint, the queue would move from one to the next.
+	served, deepest := simulate(550, []int{slots, slots, slots})
 	total := served[0] + served[1] + served[2]
 	for e, count := range served {
 		if got := float64(3*count) / float64(total); got > 1.3 {
@@ -114,3 +129,13 @@
 	}
 	t.Logf("served %v, deepest queue %d", served, deepest)
 }
+
+func TestSlowerEndpointReceivesFewerRequests(t *testing.T) {
+	// Guards against a margin so wide that the choice is random: a third of 450 reads a
+	// second is more than an endpoint with half of its slots serves.
+	served, deepest := simulate(450, []int{slots, slots, slots / 2})
+	if want := 32; deepest > want {
+		t.Errorf("got a queue of %d, want at most %d", deepest, want)
+	}
+	t.Logf("served %v, deepest queue %d", served, deepest)
+}
