Queue: replace a request of the same ID; weight of a team's priority

Two entries under one ID could not both be removed again. IDs are unique today, but some arrive from other instances. Team.Weight gives the weight of a priority: 8, 4, 2, 1. go test ./internal/traffic/queue ./internal/traffic/proxy ./internal/traffic/spill passed.

--- a/internal/traffic/queue/rank_queue.go
+++ b/internal/traffic/queue/rank_queue.go
@@ -97,9 +97,11 @@
 	return q
 }
 
-// withRequest adds a request. A caller that had none waits from the present virtual
-// time on, or from the one that it has reached if that is later.
+// withRequest adds a request, or replaces one of the same ID. A caller that had none
+// waits from the present virtual time on, or from the one that it has reached if that
+// is later.
 func (q rankQueue) withRequest(r rosemarylb.Request) rankQueue {
+	q, _ = q.withoutRequest(r.ID)
 	q.sequence++
 	c := q.caller(r.Caller)
 	if !c.isWaiting() {
--- a/internal/traffic/queue/turns_test.go
+++ b/internal/traffic/queue/turns_test.go
@@ -103,6 +103,39 @@
 	}
 }
 
+func TestFullQueueEvictsFromCallerWithMostRequests(t *testing.T) {
+	flood := load{
+		caller: "flood",
+	}
+	q := NewPriorityQueue(WithMaxDepth(10))
+	for n := range uint64(10) {
+		q, _ = q.WithRequest(flood.newRequest(n+1), start)
+	}
+	q, rejection := q.WithRequest(newRequest(20, rosemarylb.RankStandard, time.Hour), start)
+	if got, want := rejection.Request.ID.Sequence, uint64(10); got != want {
+		t.Errorf("got request %d rejected, want %d, the newest of the flood", got, want)
+	}
+	_, rejection = q.WithRequest(flood.newRequest(21), start)
+	if got, want := rejection.Request.ID.Sequence, uint64(21); got != want {
+		t.Errorf("got request %d rejected, want %d", got, want)
+	}
+}
+
+func TestRequestOfKnownIDIsReplaced(t *testing.T) {
+	// A second entry under the same ID could never be removed.
+	q := NewPriorityQueue(WithMaxDepth(10))
+	for range 2 {
+		q, _ = q.WithRequest(newRequest(1, rosemarylb.RankStandard, time.Second), start)
+	}
+	q, expired := q.WithoutExpired(start.Add(time.Minute))
+	if got, want := len(expired), 1; got != want {
+		t.Errorf("got %d expired requests, want %d", got, want)
+	}
+	if got := q.Depth(rosemarylb.RankStandard); got != 0 {
+		t.Errorf("got depth %d, want 0", got)
+	}
+}
+
 func TestPassedOverCallerClaimsLimitedTime(t *testing.T) {
 	// A caller whose endpoint was gone must not block all others when it is back.
 	loads := []load{
--- a/internal/traffic/spill/balancer_test.go
+++ b/internal/traffic/spill/balancer_test.go
@@ -254,6 +254,22 @@
 	}
 }
 
+func BenchmarkChoose(b *testing.B) {
+	s := newSimulation(DistanceRegion, 500*time.Microsecond, [2]float64{1.3, 0.4})
+	s.run(5 * time.Second)
+	balancer := s.domains[0].balancers[0]
+	candidates := make([]Candidate, 20)
+	for i := range candidates {
+		candidates[i].FinishAt = s.now.Add(time.Duration(i) * time.Millisecond)
+		candidates[i].Weight = 1
+		candidates[i].Distance = Distance(i % DistanceCount)
+	}
+	for b.Loop() {
+		balancer = balancer.WithSample(DistanceDomain, s.finishes(0, 0), s.now)
+		balancer.Choose(candidates, rosemarylb.RankStandard, reportAge/3, s.random.Float64)
+	}
+}
+
 func TestSharesFallWhenTheOtherSideIsUnknown(t *testing.T) {
 	s := newSimulation(DistanceRegion, 500*time.Microsecond, [2]float64{1.3, 0.4})
 	s.run(30 * time.Second)
--- a/team.go
+++ b/team.go
@@ -30,10 +30,19 @@
 	RatePerSecond float64
 	// Burst is the number of operations that the team may run at once beyond its rate.
 	Burst float64
-	// Priority orders the teams of a rank, 0 for the highest.
+	// Priority orders the teams of a rank, 0 for the highest, 1 for the usual one.
 	Priority int
 }
 
+// maxWeight is the weight of teams of the highest priority.
+const maxWeight = 8
+
+// Weight returns the team's weight in a queue. It halves with each step of the priority,
+// down to 1.
+func (t Team) Weight() int {
+	return max(maxWeight>>max(t.Priority, 0), 1)
+}
+
 // HasQuota reports whether the operations of the team are limited.
 func (t Team) HasQuota() bool {
 	return t.RatePerSecond > 0
