Outlier: eject an endpoint that stops after five failures in a row

With the successes of the last seconds, a rate that stands out took more failures the more an endpoint had served.

--- a/internal/traffic/outlier/comparison.go
+++ b/internal/traffic/outlier/comparison.go
@@ -21,6 +21,10 @@
 	// deviations is the number of standard deviations that are subtracted from the
 	// failures, so that chance alone ejects no endpoint.
 	deviations = 2.0
+	// maxChance is the chance of a row of failures, at the failure rate of the others,
+	// below which the row alone makes an outlier. An endpoint that has just stopped is
+	// found by it before its rate shows.
+	maxChance = 1e-5
 	// slowFactor and slowSeconds are by how much the mean latency of an outlier exceeds
 	// that of the others: both, since short statements vary by more than a factor.
 	slowFactor  = 4.0
@@ -42,7 +46,8 @@
 	others, _ := d.typical(e.id, func(o endpoint) float64 {
 		return o.failures / o.total()
 	})
-	if certain/e.total() > others+minExcess {
+	row := float64(e.failuresInRow)
+	if certain/e.total() > others+minExcess || row >= minOutcomes && math.Pow(others, row) < maxChance {
 		return true
 	}
 	return e.state(now) == StateNormal && e.successes >= minOutcomes && d.isSlow(e.seconds/e.successes, e.id)
--- a/internal/traffic/outlier/detector_test.go
+++ b/internal/traffic/outlier/detector_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+func TestEndpointThatStopsIsEjectedSoon(t *testing.T) {
+	// Its successes of the last seconds must not hide the failures.
+	s := newSimulation(fault{}, fault{}, fault{})
+	s.run(10 * time.Second)
+	s.faults[0] = fault{
+		failures: 1,
+	}
+	s.run(time.Second)
+	if got, want := s.failed, 5; got != want {
+		t.Errorf("got %d failed requests, want %d", got, want)
+	}
+}
+
 func TestEjectionsGrowAndProbesAreFew(t *testing.T) {
 	s := newSimulation(fault{failures: 1}, fault{}, fault{})
 	s.run(time.Minute)
--- a/internal/traffic/outlier/endpoint.go
+++ b/internal/traffic/outlier/endpoint.go
@@ -14,6 +14,8 @@
 	// weight with age.
 	successes, failures, seconds float64
 	countedAt                    time.Time
+	// failuresInRow counts the failures since the last success.
+	failuresInRow int
 	// ejections is the number of ejections in a row, 0 for an endpoint that is not
 	// remembered as an outlier.
 	ejections    int
@@ -55,8 +57,10 @@
 	e.countedAt = now
 	if o.Failed {
 		e.failures++
+		e.failuresInRow++
 		return e
 	}
+	e.failuresInRow = 0
 	e.successes++
 	e.seconds += max(now.Sub(o.ReceivedAt).Seconds(), 0)
 	return e
@@ -84,6 +88,6 @@
 // withoutCounts forgets the outcomes, so that those before an ejection do not count
 // after it.
 func (e endpoint) withoutCounts() endpoint {
-	e.successes, e.failures, e.seconds = 0, 0, 0
+	e.successes, e.failures, e.seconds, e.failuresInRow = 0, 0, 0, 0
 	return e
 }
