--- a/internal/traffic/queue/priority_queue.go
+++ b/internal/traffic/queue/priority_queue.go
@@ -23,7 +23,8 @@
 
 // PriorityQueue is an immutable queue that serves the most urgent rank first, but
 // guarantees each waiting rank a minimum share of the service time, which it
-// tracks with a credit per rank. With load shedding it rejects requests that are
+// tracks with a credit per rank. Within a rank, callers take turns by service time
+// and weight. With load shedding it rejects requests that are
 // expected to miss their deadlines before they are sent to the endpoint.
 type PriorityQueue struct {
 	queues          [rosemarylb.RankCount]rankQueue
@@ -119,7 +120,7 @@
 // share waits at most as long as its own requests take at that share.
 func (q PriorityQueue) expectedDelay(r rosemarylb.Request) time.Duration {
 	rank := r.Rank
-	ownWork := time.Duration(q.queues[rank].requestsAhead(r.Caller)) * q.meanServiceTime[rank]
+	ownWork := q.queues[rank].workAhead(r, q.meanServiceTime[rank])
 	work := ownWork
 	for higher := range rank {
 		work += time.Duration(q.queues[higher].depth) * q.meanServiceTime[higher]
@@ -130,48 +131,39 @@
 	return work/time.Duration(q.slots) + q.meanServiceTime[rank]
 }
 
-// Next implements rosemarylb.Queue. It skips requests that would miss their
-// deadlines and returns them as expired. A rank without an eligible request leaves
-// its turn to the others.
+// Next implements rosemarylb.Queue. A rank without an eligible request leaves its turn
+// to the others.
 func (q PriorityQueue) Next(
 	now time.Time, eligible func(rosemarylb.Request) bool,
 ) (rosemarylb.Dispatch, rosemarylb.Queue) {
-	var expired []rosemarylb.Request
+	var d rosemarylb.Dispatch
+	for i := range q.queues {
+		var expired []rosemarylb.Request
+		q.queues[i], expired = q.queues[i].withoutExpired(now.Add(q.reservedTime(rosemarylb.Rank(i))))
+		d.Expired = append(d.Expired, expired...)
+	}
 	var passed [rosemarylb.RankCount]bool
 	for {
 		rank, found := q.selectRank(passed)
 		if !found {
-			return rosemarylb.Dispatch{
-				Expired: expired,
-			}, q
-		}
-		var r rosemarylb.Request
-		r, q.queues[rank], found = q.queues[rank].pop(func(r rosemarylb.Request) bool {
-			return eligible == nil || q.missesDeadline(r, now) || eligible(r)
-		})
-		if !found {
-			passed[rank] = true
-			continue
+			return d, q
 		}
-		if q.missesDeadline(r, now) {
-			expired = append(expired, r)
-			continue
+		d.Request, d.Found = q.queues[rank].first(eligible)
+		if d.Found {
+			q.queues[rank] = q.queues[rank].withTurn(d.Request)
+			return d, q
 		}
-		return rosemarylb.Dispatch{
-			Found:   true,
-			Request: r,
-			Expired: expired,
-		}, q
+		passed[rank] = true
 	}
 }
 
-// missesDeadline reports whether a request can no longer be started in time; with
-// load shedding, whether it can no longer be served in time.
-func (q PriorityQueue) missesDeadline(r rosemarylb.Request, now time.Time) bool {
+// reservedTime returns how long before its QueueDeadline a request has to start: with
+// load shedding, early enough to be served in time.
+func (q PriorityQueue) reservedTime(rank rosemarylb.Rank) time.Duration {
 	if q.loadShedding {
-		now = now.Add(q.meanServiceTime[r.Rank])
+		return q.meanServiceTime[rank]
 	}
-	return now.After(r.QueueDeadline)
+	return 0
 }
 
 // selectRank returns the rank to serve next, false when no request waits in a rank
@@ -224,6 +216,7 @@
 func (q PriorityQueue) WithServed(r rosemarylb.Request, serviceTime time.Duration) rosemarylb.Queue {
 	rank := r.Rank
 	mean := q.meanServiceTime[rank]
+	q.queues[rank] = q.queues[rank].withService(r, serviceTime)
 	q.meanServiceTime[rank] = mean + (serviceTime-mean)*serviceTimeWeightPercent/percent
 	for i := range q.queues {
 		if q.queues[i].depth == 0 && rosemarylb.Rank(i) != rank {
