Distribute the configuration through the keeper

An instance that the store rejects kept its old configuration until the store answered it again, and each instance fetched each new version from the store.

The keeper's reply now carries the configuration to an instance with an older version, and an instance with a newer one than the keeper holds sends it with its next request. The configuration is compressed once per version. A duty of its own in the registry receives configurations from all sources and publishes later versions only; the watcher fetches an announced version from the store only if its content has not arrived after 1 s, and at most once a second.

--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -25,6 +25,12 @@
 	Endpoints []rosemarylb.EndpointSpec
 }
 
+// CatalogChanged reports a new version of the configuration.
+type CatalogChanged struct {
+	// Catalog is the configuration.
+	Catalog rosemarylb.Catalog
+}
+
 // PermitRequested is an instance's request for permits.
 type PermitRequested struct {
 	// Report is what the instance has observed.
@@ -61,6 +67,8 @@
 	// list, and is 0 before the list is known.
 	Endpoints        []rosemarylb.EndpointSpec
 	EndpointsVersion uint64
+	// Catalog is the configuration that the keeper holds, of version 0 if none.
+	Catalog rosemarylb.Catalog
 }
 
 // LeaseReleased reports that a holder has released the lease without a write to the
@@ -116,6 +124,7 @@
 func (holderAnswered) keepingEvent()    {}
 func (RecordObserved) keepingEvent()    {}
 func (EndpointsChanged) keepingEvent()  {}
+func (CatalogChanged) keepingEvent()    {}
 func (PermitRequested) keepingEvent()   {}
 func (RetireRequested) keepingEvent()   {}
 func (LeaseReleased) keepingEvent()     {}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -43,6 +43,7 @@
 	notHolding      *duty.Latest[bool]
 	witness         *Witness
 	endpoints       endpointList
+	catalog         rosemarylb.Catalog
 	storeAnsweredAt *duty.Latest[time.Time]
 }
 
@@ -173,6 +174,9 @@
 	case EndpointsChanged:
 		r.keeper = r.keeper.WithEndpoints(e.Endpoints)
 		r.endpoints = newEndpointList(e.Endpoints)
+	case CatalogChanged:
+		r.catalog = e.Catalog
+		return
 	case holderAnswered:
 		r.keeper = r.keeper.WithLeaseNotification(now)
 	case RetireRequested:
@@ -224,6 +228,7 @@
 		CatalogVersion:   r.keeper.LatestCatalogVersion(),
 		Endpoints:        r.endpoints.endpoints,
 		EndpointsVersion: r.endpoints.version,
+		Catalog:          r.catalog,
 	}:
 	default:
 	}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -31,6 +31,10 @@
 	initialBackoff = 250 * time.Millisecond
 	// maxBackoff is the maximum delay after a failed call.
 	maxBackoff = time.Second
+	// contentTimeout is how long a configuration that the keeper has announced may take
+	// to arrive before it is fetched from the directory. It is also the minimum time
+	// between two such fetches.
+	contentTimeout = time.Second
 	// missingRetention is the time for which an endpoint that is no longer
 	// listed is still published. Entries that expired during an outage of the
 	// store are registered again within that time.
@@ -175,7 +179,7 @@
 	return e.listing
 }
 
-// ConfigurationWatcher is a duty that watches the configuration.
+// ConfigurationWatcher is a duty that watches the configuration in the directory.
 type ConfigurationWatcher struct {
 	directory    rosemarylb.Directory
 	log          *slog.Logger
@@ -183,24 +187,31 @@
 	revision     uint64
 	version      uint64
 	notification *duty.Latest[keeper.Notification]
+	latest       *duty.Latest[rosemarylb.Catalog]
 	nextTickAt   time.Time
 	reachable    bool
 	failures     int
+	// awaiting is true from the announcement of a version until its content is known.
+	// The content is fetched at fetchAt.
+	awaiting bool
+	fetchAt  time.Time
 }
 
-// StartConfigurationWatcher starts a duty that passes each new configuration to
-// publish. While notification shows that another instance reports the newest version,
-// it queries the directory only for a version that is newer than its own. The
-// function publish must not block. The returned function stops the duty.
+// StartConfigurationWatcher starts a duty that passes each configuration later than
+// latest to publish. While notification shows that another instance reports the newest
+// version, it queries the directory only if that version does not become the latest
+// within contentTimeout. The function publish must not block for long. The returned
+// function stops the duty.
 func StartConfigurationWatcher(
 	c rosemarylb.Clock, d rosemarylb.Directory, l *slog.Logger, notification *duty.Latest[keeper.Notification],
-	publish func(rosemarylb.Catalog),
+	latest *duty.Latest[rosemarylb.Catalog], publish func(rosemarylb.Catalog),
 ) (*duty.Duty, func()) {
 	return duty.StartWithClock[struct{}](c, "registry-configuration", &ConfigurationWatcher{
 		directory:    d,
 		log:          l,
 		publish:      publish,
 		notification: notification,
+		latest:       latest,
 		nextTickAt:   c.Now(),
 		reachable:    true,
 	}, duty.NewRing[struct{}]("registry-configuration", 1))
@@ -215,7 +226,7 @@
 	if n := c.notification.Load(); n.ReplacesWatch(now) {
 		c.nextTickAt = now.Add(standbyInterval)
 		c.revision = 0
-		if n.CatalogVersion <= c.version {
+		if !c.fetchDue(n.CatalogVersion, now) {
 			return
 		}
 	}
@@ -241,12 +252,35 @@
 		c.nextTickAt = now.Add(initialBackoff)
 	}
 	c.revision = revision
-	if next.Version > c.version {
+	if next.Version > c.knownVersion() {
 		c.version = next.Version
 		c.publish(next)
 	}
 }
 
+// knownVersion returns the latest version that was fetched or received otherwise.
+func (c *ConfigurationWatcher) knownVersion() uint64 {
+	return max(c.version, c.latest.Load().Version)
+}
+
+// fetchDue reports whether an announced version has to be fetched now. If so, the next
+// fetch is due contentTimeout later.
+func (c *ConfigurationWatcher) fetchDue(announced uint64, now time.Time) bool {
+	if announced <= c.knownVersion() {
+		c.awaiting = false
+		return false
+	}
+	if c.awaiting && !now.Before(c.fetchAt) {
+		c.fetchAt = now.Add(contentTimeout)
+		return true
+	}
+	if !c.awaiting {
+		c.awaiting = true
+		c.fetchAt = now.Add(contentTimeout)
+	}
+	return false
+}
+
 func (c *ConfigurationWatcher) fetch() (rosemarylb.Catalog, uint64, error) {
 	if c.revision == 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -38,6 +38,9 @@
 	redialFailureCount = 2
 	// maxDialBackoff is the longest backoff between two attempts to connect.
 	maxDialBackoff = 200 * time.Millisecond
+	// catalogResendInterval is the time after which a configuration is sent to the
+	// keeper again that still announces an older one.
+	catalogResendInterval = time.Second
 )
 
 // PermitRequester is the duty that requests permits from the keeper, and derives them
@@ -69,6 +72,7 @@
 	nextDeposeAt        time.Time
 	lastReadAt          time.Time
 	nextRequestAt       time.Time
+	catalogs            catalogExchange
 }
 
 // leaseHolder is the address and the token of a lease holder that another
@@ -117,6 +121,18 @@
 	}
 }
 
+// WithCatalogExchange sets the configuration that this instance has, which is sent to
+// a keeper with an older one, and the function that receives the keeper's. The
+// function must not block.
+func WithCatalogExchange(
+	current *duty.Latest[rosemarylb.Catalog], onCatalog func(rosemarylb.Catalog),
+) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.catalogs.current = current
+		pr.catalogs.onCatalog = onCatalog
+	}
+}
+
 // NewPermitRequester returns a duty of an instance that is not yet started. It puts
 // permits, shares, peers and endpoints into the rings of the proxy and of the
 // keeper's duty, and reads the record in the store while the keeper is silent.
@@ -135,6 +151,10 @@
 		proxyStatus:     p.Status(),
 		proxyRing:       p.Ring(),
 		nextRequestAt:   clock.Now(),
+		catalogs: catalogExchange{
+			current:   duty.NewLatest(rosemarylb.Catalog{}),
+			onCatalog: func(rosemarylb.Catalog) {},
+		},
 	}
 	for _, o := range options {
 		o(pr)
@@ -255,6 +275,9 @@
 		Permits: permit.FromGrants(decodeGrants(reply), now),
 	})
 	pr.updatePeers(reply)
+	if err := pr.catalogs.receive(reply, pr.keeperToken); err != nil {
+		pr.log.Error("cannot decode the keeper's configuration", "bytes", len(reply.GetCatalog()), "error", err)
+	}
 	pr.applyNotification(reply, now)
 	return nil
 }
@@ -271,6 +294,7 @@
 		EndpointsVersion: pr.endpointsVersion,
 		CatalogVersion:   pr.proxyStatus.Load().CatalogVersion,
 		Capacity:         uint32(pr.capacity),
+		Catalog:          pr.catalogs.contentFor(pr.keeperToken, now),
 	}
 	for _, o := range pr.proxyStatus.Load().Observations {
 		request.Evidence = append(request.Evidence, &link.Evidence{
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -25,16 +25,25 @@
 	clock   rosemarylb.Clock
 	ring    *duty.Ring[keeperduty.Event]
 	witness *keeperduty.Witness
+	// catalogs encodes the configuration in replies, and onCatalog receives it from
+	// requests.
+	catalogs  *catalogEncoder
+	onCatalog func(rosemarylb.Catalog)
 }
 
-// ServeKeeper serves the permit requests of other instances on a listener. The
-// returned function stops the server and waits for it to end.
-func ServeKeeper(listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner) func() {
+// ServeKeeper serves the permit requests of other instances on a listener. It calls
+// onCatalog, which must not block, with each configuration that a request carries.
+// The returned function stops the server and waits for it to end.
+func ServeKeeper(
+	listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner, onCatalog func(rosemarylb.Catalog),
+) func() {
 	s := grpc.NewServer()
 	link.RegisterKeeperServer(s, &permitServer{
-		clock:   clock,
-		ring:    k.Ring(),
-		witness: k.Witness(),
+		clock:     clock,
+		ring:      k.Ring(),
+		witness:   k.Witness(),
+		catalogs:  &catalogEncoder{},
+		onCatalog: onCatalog,
 	})
 	wait := duty.Spawn(func() {
 		_ = s.Serve(listener)
@@ -50,6 +59,9 @@
 func (s *permitServer) Ask(ctx context.Context, request *link.PermitRequest) (*link.PermitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
+	if err := s.receiveCatalog(request); err != nil {
+		return nil, err
+	}
 	replies := make(chan keeperduty.PermitReply, 1)
 	if !s.ring.Offer(keeperduty.PermitRequested{
 		Report: decodeReport(request, s.clock.Now()),
@@ -59,12 +71,39 @@
 	}
 	select {
 	case reply := <-replies:
-		return encodePermitReply(reply, request.GetPeersVersion(), request.GetEndpointsVersion()), nil
+		encoded := encodePermitReply(reply, request.GetPeersVersion(), request.GetEndpointsVersion())
+		if reply.IsHolder {
+			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
+		}
+		return encoded, nil
 	case <-ctx.Done():
 		return nil, errors.Wrap(ctx.Err(), "keeper")
 	}
 }
 
+// receiveCatalog passes on the configuration in a request. It returns an error
+// marked as errInvalidCatalog if it cannot be decoded.
+func (s *permitServer) receiveCatalog(request *link.PermitRequest) error {
+	if len(request.GetCatalog()) == 0 {
+		return nil
+	}
+	catalog, err := decodeCatalog(request.GetCatalog())
+	if err != nil {
+		return err
+	}
+	s.onCatalog(catalog)
+	return nil
+}
+
+// addCatalog adds the configuration to the reply to an instance that has an older
+// version.
+func (s *permitServer) addCatalog(reply *link.PermitReply, c rosemarylb.Catalog, version uint64) {
+	reply.CatalogHeld = c.Version
+	if c.Version > version {
+		reply.Catalog = s.catalogs.encode(c)
+	}
+}
+
 // Depose implements link.KeeperServer.
 func (s *permitServer) Depose(_ context.Context, request *link.DeposeRequest) (*link.DeposeReply, error) {
 	return &link.DeposeReply{
--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -49,6 +49,7 @@
 		if proto.Unmarshal(message, &answered) == nil {
 			decodeGrants(&answered)
 			decodeEndpoints(answered.GetEndpoints())
+			_, _ = decodeCatalog(answered.GetCatalog())
 		}
 		if record, err := keeper.ParseRecord(message); err == nil {
 			keeper.NewKeeper("i0", 1, "a0").WithRecord(record, 1, now).Decide(now)
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -89,6 +89,7 @@
 	clock        rosemarylb.Clock
 	proxy        *proxy.Proxy
 	keeperRunner *keeperduty.Runner
+	catalogs     *registry.Configuration
 	duties       []*duty.Duty
 	cleanups     []func()
 }
@@ -130,6 +131,14 @@
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
 	p.SetProbeSink(i.keeperRunner)
+	i.catalogs = registry.NewConfiguration(i.log, func(c rosemarylb.Catalog) {
+		i.proxy.Ring().Put(proxy.CatalogChanged{
+			Catalog: c,
+		})
+		i.keeperRunner.Ring().Put(keeperduty.CatalogChanged{
+			Catalog: c,
+		})
+	})
 	if err := i.startServers(id); err != nil {
 		return err
 	}
@@ -139,11 +148,14 @@
 	duties, stop := i.keeperRunner.Start(p.Store, p.Promoter, p.Probes, storeAnsweredAt, notification)
 	i.duties = append(i.duties, duties...)
 	i.cleanups = append(i.cleanups, stop)
-	i.addDuty(registry.StartConfigurationWatcher(i.clock, p.Directory, i.log, notification, func(c rosemarylb.Catalog) {
-		i.proxy.Ring().Put(proxy.CatalogChanged{
-			Catalog: c,
-		})
-	}))
+	i.addDuty(i.catalogs.Start(i.clock))
+	i.addDuty(registry.StartConfigurationWatcher(i.clock, p.Directory, i.log, notification, i.catalogs.Latest(),
+		func(c rosemarylb.Catalog) {
+			i.catalogs.Ring().Put(registry.ConfigurationReceived{
+				Catalog: c,
+				Source:  "store",
+			})
+		}))
 	i.addDuty(registry.StartEndpointWatcher(i.clock, p.Directory, i.log, storeAnsweredAt, notification,
 		func(endpoints []rosemarylb.EndpointSpec) {
 			i.proxy.Ring().Put(proxy.EndpointsChanged{
@@ -161,6 +173,7 @@
 		instance.WithPermitLogger(i.log),
 		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
 		instance.WithCapacity(id.Capacity),
+		instance.WithCatalogExchange(i.catalogs.Latest(), i.offerCatalog("keeper")),
 		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
@@ -175,6 +188,17 @@
 	return nil
 }
 
+// offerCatalog returns a function that passes on a configuration from another instance.
+// One that meets a full ring is dropped, since the other instance sends it again.
+func (i *Instance) offerCatalog(source string) func(rosemarylb.Catalog) {
+	return func(c rosemarylb.Catalog) {
+		i.catalogs.Ring().Offer(registry.ConfigurationReceived{
+			Catalog: c,
+			Source:  source,
+		})
+	}
+}
+
 // startServers starts the servers for other instances, readiness checks, and
 // metrics and dumps.
 func (i *Instance) startServers(id Identity) error {
@@ -182,7 +206,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner))
+	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner,
+		i.offerCatalog("instance")))
 	readyListener, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
