Ask seeds for the lease holder while the store does not answer

An instance that started while the store rejected it knew no keeper, and thus had no permits, endpoints or configuration.

--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"rosemarylb"
@@ -72,6 +73,8 @@
 	nextDeposeAt        time.Time
 	lastReadAt          time.Time
 	nextRequestAt       time.Time
+	seeds               []string
+	nextSeed            int
 	catalogs            catalogExchange
 }
 
@@ -133,6 +136,14 @@
 	}
 }
 
+// WithSeeds sets the host:port of instances that are asked for the lease holder while
+// neither the keeper nor the store answers. The instance's own address is skipped.
+func WithSeeds(addresses []string) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.seeds = addresses
+	}
+}
+
 // NewPermitRequester returns a duty of an instance that is not yet started. It puts
 // permits, shares, peers and endpoints into the rings of the proxy and of the
 // keeper's duty, and reads the record in the store while the keeper is silent.
@@ -159,6 +170,9 @@
 	for _, o := range options {
 		o(pr)
 	}
+	pr.seeds = slices.DeleteFunc(slices.Clone(pr.seeds), func(address string) bool {
+		return address == pr.address
+	})
 	return pr
 }
 
@@ -211,7 +225,9 @@
 	}
 	if now.Sub(pr.lastReadAt) >= recordReadInterval {
 		pr.lastReadAt = now
-		pr.readRecord()
+		if !pr.readRecord() {
+			pr.askSeed()
+		}
 	}
 }
 
@@ -253,12 +269,7 @@
 		})
 	}
 	if !reply.GetKeeper() {
-		if reply.GetToken() > pr.keeperToken {
-			pr.holderHint = leaseHolder{
-				address: reply.GetHolderAddress(),
-				token:   reply.GetToken(),
-			}
-		}
+		pr.observeHolder(reply)
 		return errNotKeeper
 	}
 	if !pr.keeperRunner.Witness().ObserveAnswer(pr.keeperToken, now) {
@@ -282,6 +293,16 @@
 	return nil
 }
 
+// observeHolder stores the lease holder that a reply names, if it is a later one.
+func (pr *PermitRequester) observeHolder(reply *link.PermitReply) {
+	if reply.GetToken() > max(pr.keeperToken, pr.holderHint.token) {
+		pr.holderHint = leaseHolder{
+			address: reply.GetHolderAddress(),
+			token:   reply.GetToken(),
+		}
+	}
+}
+
 func (pr *PermitRequester) newRequest(now time.Time) *link.PermitRequest {
 	request := &link.PermitRequest{
 		From:         string(pr.self),
@@ -308,19 +329,20 @@
 }
 
 // readRecord reads the keeper's record in the store and derives permits from it;
-// they count from before the read.
-func (pr *PermitRequester) readRecord() {
+// they count from before the read. It returns false if there is no record or it cannot
+// be read.
+func (pr *PermitRequester) readRecord() bool {
 	requestedAt := pr.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), recordReadTimeout)
 	defer cancel()
 	o, err := pr.store.Get(ctx, keeperduty.RecordName)
 	if err != nil || o.Version == 0 {
-		return
+		return false
 	}
 	r, err := keeper.ParseRecord(o.Value)
 	if err != nil {
 		pr.log.Error("the keeper's record cannot be read", "revision", o.Version, "error", err)
-		return
+		return false
 	}
 	if !pr.shareKnown && r.Members > 0 {
 		pr.proxyRing.Put(proxy.ShareChanged{
@@ -333,6 +355,7 @@
 	pr.proxyRing.Put(proxy.PermitsReceived{
 		Permits: permit.FromRecord(r, requestedAt),
 	})
+	return true
 }
 
 // keeperClient returns a client of the lease holder with the highest known token,
--- /dev/null
+++ b/internal/peer/instance/seed.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"context"
+
+	"rosemarylb/internal/message/link"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// askSeed asks the next seed for the lease holder that it knows. It blocks for at most
+// requestTimeout. The reply's permits are not used, since the seed may not be the
+// holder; the next request goes to the holder itself.
+func (pr *PermitRequester) askSeed() {
+	if len(pr.seeds) == 0 {
+		return
+	}
+	address := pr.seeds[pr.nextSeed%len(pr.seeds)]
+	pr.nextSeed++
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return
+	}
+	defer func() {
+		_ = conn.Close()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	reply, err := link.NewKeeperClient(conn).Ask(ctx, pr.newRequest(pr.clock.Now()))
+	if err != nil {
+		return
+	}
+	former := pr.holderHint
+	pr.observeHolder(reply)
+	if pr.holderHint != former {
+		pr.log.Info("lease holder learned from a seed", "seed", address, "address", pr.holderHint.address,
+			"token", pr.holderHint.token)
+	}
+}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -49,6 +49,9 @@
 	// Capacity is the processor time that the instance may use, in thousandths of a
 	// core, 0 if unknown.
 	Capacity int
+	// Seeds are the host:port of instances that are asked for the lease holder while the
+	// store does not answer.
+	Seeds []string
 	// InstanceAddress is the host:port for other instances.
 	InstanceAddress string
 	// RelayAddress is the host:port for queries that other instances relay.
@@ -173,6 +176,7 @@
 		instance.WithPermitLogger(i.log),
 		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
 		instance.WithCapacity(id.Capacity),
+		instance.WithSeeds(id.Seeds),
 		instance.WithCatalogExchange(i.catalogs.Latest(), i.offerCatalog("keeper")),
 		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
