Name groups and primaries once in control traffic

Each request to the keeper and each reply named all groups and primaries: with 8 groups a request had 438 bytes and a reply 386, 8.3 times a second for each instance.

An instance that has the list names its version, and gives its observations by place; the reply then carries positions and their ages by place. A full list is sent when the version differs. The holder keeps its last 8 lists to resolve observations. A reply that refers to another list than the known one grants nothing. Permits, terms and positions are as before.

Instances of the former version get and send full lists.

--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -4,6 +4,8 @@
 package keeperduty
 
 import (
+	"time"
+
 	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
 )
@@ -35,17 +37,31 @@
 type PermitRequested struct {
 	// Report is what the instance has observed.
 	Report keeper.Report
+	// Indexed are further observations, by their places in the list of grants of version
+	// GrantsVersion. They are ignored if that list is not known.
+	Indexed       []IndexedObservation
+	GrantsVersion uint64
 	// Reply receives the reply; it is buffered for one, as the duty does not
 	// block on it.
 	Reply chan<- PermitReply
 }
 
+// IndexedObservation is an observation of the primary in a list of grants.
+type IndexedObservation struct {
+	// Place is the place of the grant in the list, from 0.
+	Place int
+	// AnsweredAt and FirstFailureAt are as in keeper.Observation.
+	AnsweredAt, FirstFailureAt time.Time
+}
+
 // PermitReply is the reply to a request for permits.
 type PermitReply struct {
 	// IsHolder is true when this instance may act as the lease holder.
 	IsHolder bool
-	// Grants lists the primaries that may be used.
-	Grants []keeper.Grant
+	// Grants lists the primaries that may be used, in the order of the list that
+	// GrantsVersion identifies, 0 for none.
+	Grants        []keeper.Grant
+	GrantsVersion uint64
 	// Share is the requesting instance's share of each endpoint's connections.
 	Share rosemarylb.ConnectionShare
 	// ReleasedToken is the token of a lease that this instance has released without
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -44,6 +44,7 @@
 	witness         *Witness
 	endpoints       endpointList
 	catalog         rosemarylb.Catalog
+	grantLists      grantLists
 	storeAnsweredAt *duty.Latest[time.Time]
 }
 
@@ -210,13 +211,20 @@
 // handlePermitRequest replies at once. The reply is dropped if the requester does
 // not receive it.
 func (r *Runner) handlePermitRequest(e PermitRequested, now time.Time) {
+	e.Report.Observations = append(e.Report.Observations, r.grantLists.resolve(e.GrantsVersion, e.Indexed)...)
 	r.keeper = r.keeper.WithReport(e.Report, now)
 	grants, holds := r.keeper.Grants(now)
 	record := r.keeper.Record()
+	version := uint64(0)
+	if holds {
+		r.grantLists = r.grantLists.withGrants(record.Token, grants)
+		grants, version = r.grantLists.order(grants), r.grantLists.version()
+	}
 	select {
 	case e.Reply <- PermitReply{
 		IsHolder:      holds,
 		Grants:        grants,
+		GrantsVersion: version,
 		Share:         r.keeper.Share(e.Report.From),
 		ReleasedToken: r.keeper.ReleasedToken(),
 		HolderAddress: record.Address,
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -73,6 +73,7 @@
 	nextDeposeAt        time.Time
 	lastReadAt          time.Time
 	nextRequestAt       time.Time
+	grantList           permit.GrantList
 	seeds               []string
 	nextSeed            int
 	catalogs            catalogExchange
@@ -282,9 +283,7 @@
 			Index:   int(reply.GetIndex()),
 		},
 	})
-	pr.proxyRing.Put(proxy.PermitsReceived{
-		Permits: permit.FromGrants(decodeGrants(reply), now),
-	})
+	pr.applyGrants(reply, now)
 	pr.updatePeers(reply)
 	if err := pr.catalogs.receive(reply, pr.keeperToken); err != nil {
 		pr.log.Error("cannot decode the keeper's configuration", "bytes", len(reply.GetCatalog()), "error", err)
@@ -303,6 +302,21 @@
 	}
 }
 
+// applyGrants passes the permits of a holder's reply to the proxy. They count from the
+// time of the request. A reply that refers to an unknown list grants nothing; the next
+// one brings the whole list.
+func (pr *PermitRequester) applyGrants(reply *link.PermitReply, requestedAt time.Time) {
+	grants, list, err := receiveGrants(reply, pr.grantList, pr.keeperToken)
+	pr.grantList = list
+	if err != nil {
+		pr.log.Warn("grants ignored", "address", pr.keeperAddress, "error", err)
+		return
+	}
+	pr.proxyRing.Put(proxy.PermitsReceived{
+		Permits: permit.FromGrants(grants, requestedAt),
+	})
+}
+
 func (pr *PermitRequester) newRequest(now time.Time) *link.PermitRequest {
 	request := &link.PermitRequest{
 		From:         string(pr.self),
@@ -317,14 +331,7 @@
 		Capacity:         uint32(pr.capacity),
 		Catalog:          pr.catalogs.contentFor(pr.keeperToken, now),
 	}
-	for _, o := range pr.proxyStatus.Load().Observations {
-		request.Evidence = append(request.Evidence, &link.Evidence{
-			Group:          string(o.Group),
-			Primary:        string(o.Primary),
-			AnsweredMicros: microsSince(o.AnsweredAt, now),
-			FailingMicros:  microsSince(o.FirstFailureAt, now),
-		})
-	}
+	encodeObservations(request, pr.proxyStatus.Load().Observations, pr.grantList, pr.keeperToken, now)
 	return request
 }
 
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -64,14 +64,16 @@
 	}
 	replies := make(chan keeperduty.PermitReply, 1)
 	if !s.ring.Offer(keeperduty.PermitRequested{
-		Report: decodeReport(request, s.clock.Now()),
-		Reply:  replies,
+		Report:        decodeReport(request, s.clock.Now()),
+		Indexed:       decodeIndexed(request, s.clock.Now()),
+		GrantsVersion: request.GetGrantsVersion(),
+		Reply:         replies,
 	}) {
 		return &link.PermitReply{}, nil
 	}
 	select {
 	case reply := <-replies:
-		encoded := encodePermitReply(reply, request.GetPeersVersion(), request.GetEndpointsVersion())
+		encoded := encodePermitReply(reply, request)
 		if reply.IsHolder {
 			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
 		}
@@ -152,9 +154,9 @@
 	return max(now.Sub(at).Microseconds(), 0)
 }
 
-// encodePermitReply encodes a reply to an instance that has the given versions of
-// the lists of peers and endpoints; a list that it has already is left out.
-func encodePermitReply(reply keeperduty.PermitReply, peersVersion, endpointsVersion uint64) *link.PermitReply {
+// encodePermitReply encodes a reply to a request. The lists of peers, endpoints and
+// grants are left out if the instance has them already, by the versions in its request.
+func encodePermitReply(reply keeperduty.PermitReply, request *link.PermitRequest) *link.PermitReply {
 	encoded := &link.PermitReply{
 		Keeper:        reply.IsHolder,
 		Members:       uint32(reply.Share.Members),
@@ -168,26 +170,43 @@
 		encoded.Follows = reply.WatchesStore
 		encoded.CatalogVersion = reply.CatalogVersion
 		encoded.EndpointsVersion = reply.EndpointsVersion
-		if reply.EndpointsVersion != endpointsVersion {
+		if reply.EndpointsVersion != request.GetEndpointsVersion() {
 			encoded.Endpoints = encodeEndpoints(reply.Endpoints)
 		}
 	}
-	if reply.IsHolder && reply.Peers.Version() != peersVersion {
-		encodePeerUpdate(encoded, reply.Peers.UpdateSince(peersVersion))
+	if version := request.GetPeersVersion(); reply.IsHolder && reply.Peers.Version() != version {
+		encodePeerUpdate(encoded, reply.Peers.UpdateSince(version))
 	}
-	for _, g := range reply.Grants {
-		p := &link.GrantedPermit{
-			Group:   string(g.Group),
-			Primary: string(g.Primary),
-			Term:    uint64(g.Term),
+	encoded.GrantsVersion = reply.GrantsVersion
+	if reply.GrantsVersion != 0 && reply.GrantsVersion == request.GetGrantsVersion() {
+		// The instance has asked this address, so that it needs no other.
+		encoded.HolderAddress = ""
+		encoded.SameGrants = true
+		encodePositions(encoded, reply.Grants)
+		return encoded
+	}
+	encoded.Permits = encodeGrants(reply.Grants)
+	return encoded
+}
+
+// decodeIndexed decodes the observations that a request gives by the place of their
+// grant.
+func decodeIndexed(request *link.PermitRequest, now time.Time) []keeperduty.IndexedObservation {
+	var indexed []keeperduty.IndexedObservation
+	failing := request.GetFailingMicros()
+	for place, answered := range request.GetAnsweredMicros() {
+		o := keeperduty.IndexedObservation{
+			Place:      place,
+			AnsweredAt: timeBefore(now, int64(answered)-1),
+		}
+		if place < len(failing) {
+			o.FirstFailureAt = timeBefore(now, int64(failing[place])-1)
 		}
-		if !g.Position.IsZero() {
-			p.Position = encodePosition(g.Position)
-			p.PositionMicros = g.PositionMicros
+		if !o.AnsweredAt.IsZero() || !o.FirstFailureAt.IsZero() {
+			indexed = append(indexed, o)
 		}
-		encoded.Permits = append(encoded.Permits, p)
 	}
-	return encoded
+	return indexed
 }
 
 func encodePeerUpdate(encoded *link.PermitReply, update keeper.PeerUpdate) {
@@ -202,23 +221,6 @@
 	}
 }
 
-func decodeGrants(r *link.PermitReply) []keeper.Grant {
-	var grants []keeper.Grant
-	for _, p := range r.GetPermits() {
-		g := keeper.Grant{
-			Group:          rosemarylb.DatabaseName(p.GetGroup()),
-			Primary:        rosemarylb.EndpointID(p.GetPrimary()),
-			Term:           rosemarylb.Term(p.GetTerm()),
-			PositionMicros: p.GetPositionMicros(),
-		}
-		if p.GetPosition() != nil {
-			g.Position = decodePosition(p.GetPosition())
-		}
-		grants = append(grants, g)
-	}
-	return grants
-}
-
 func encodeEndpoints(specs []rosemarylb.EndpointSpec) []*link.Endpoint {
 	var encoded []*link.Endpoint
 	for _, e := range specs {
--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarylb/internal/failover/keeper"
+	"rosemarylb/internal/failover/permit"
 	"rosemarylb/internal/message/link"
 
 	"google.golang.org/protobuf/proto"
@@ -42,12 +43,13 @@
 	f.Fuzz(func(_ *testing.T, message []byte) {
 		var asked link.PermitRequest
 		if proto.Unmarshal(message, &asked) == nil {
+			decodeIndexed(&asked, now)
 			k := keeper.NewKeeper("i0", 1, "a0").WithReport(decodeReport(&asked, now), now)
 			k.Decide(now)
 		}
 		var answered link.PermitReply
 		if proto.Unmarshal(message, &answered) == nil {
-			decodeGrants(&answered)
+			_, _, _ = receiveGrants(&answered, permit.NewGrantList(1, decodeGrants(&answered)), 1)
 			decodeEndpoints(answered.GetEndpoints())
 			_, _ = decodeCatalog(answered.GetCatalog())
 		}
