Count the bytes between instances by kind and distance

Nothing showed how many bytes permits, configurations, relays and queries take between domains and regions. rosemarylb_link_bytes_total has them by kind, distance and direction, counted where messages are sent and received. Requests to the keeper and the list of peers now carry the failure domain; an instance takes the distance of a relay and of the keeper from the host of their addresses.

--- a/internal/peer/instance/notification.go
+++ b/internal/peer/instance/notification.go
@@ -34,12 +34,15 @@
 		peers[p.GetAddress()] = rosemarylb.RelayPeer{
 			Address: p.GetAddress(),
 			Region:  rosemarylb.RegionName(p.GetRegion()),
+			Domain:  rosemarylb.DomainName(p.GetDomain()),
 		}
 	}
 	pr.peers = peers
 	pr.peersVersion = reply.GetPeersVersion()
+	all := slices.Collect(maps.Values(peers))
+	pr.meter.SetPeers(all)
 	pr.proxyRing.Put(proxy.PeersChanged{
-		Peers: slices.Collect(maps.Values(peers)),
+		Peers: all,
 	})
 }
 
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -12,6 +12,7 @@
 	"rosemarylb/internal/failover/permit"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/cockroachdb/errors"
@@ -77,6 +78,7 @@
 	seeds               []string
 	nextSeed            int
 	catalogs            catalogExchange
+	meter               *meter.Meter
 }
 
 // leaseHolder is the address and the token of a lease holder that another
@@ -145,6 +147,14 @@
 	}
 }
 
+// WithMeter sets the meter that counts the messages, and is told of the peers. The
+// default counts them without their distance.
+func WithMeter(m *meter.Meter) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.meter = m
+	}
+}
+
 // NewPermitRequester returns a duty of an instance that is not yet started. It puts
 // permits, shares, peers and endpoints into the rings of the proxy and of the
 // keeper's duty, and reads the record in the store while the keeper is silent.
@@ -163,6 +173,7 @@
 		proxyStatus:     p.Status(),
 		proxyRing:       p.Ring(),
 		nextRequestAt:   clock.Now(),
+		meter:           meter.NewMeter(meter.Location{}),
 		catalogs: catalogExchange{
 			current:   duty.NewLatest(rosemarylb.Catalog{}),
 			onCatalog: func(rosemarylb.Catalog) {},
@@ -255,7 +266,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	reply, err := client.Ask(ctx, pr.newRequest(now))
+	request := pr.newRequest(now)
+	traffic := newControlTrafficTo(pr.meter, pr.keeperAddress)
+	traffic.sent(request, len(request.GetCatalog()))
+	reply, err := client.Ask(ctx, request)
 	if err != nil {
 		pr.consecutiveFailures++
 		if pr.consecutiveFailures >= redialFailureCount {
@@ -263,6 +277,7 @@
 		}
 		return errors.Wrap(err, "keeper")
 	}
+	traffic.received(reply, len(reply.GetCatalog()))
 	pr.consecutiveFailures = 0
 	if token := reply.GetReleased(); token != 0 {
 		pr.keeperRunner.Ring().Put(keeperduty.LeaseReleased{
@@ -324,6 +339,7 @@
 		Address:      pr.address,
 		RelayAddress: pr.relayPeer.Address,
 		Region:       string(pr.relayPeer.Region),
+		Domain:       string(pr.relayPeer.Domain),
 		PeersVersion: pr.peersVersion,
 
 		EndpointsVersion: pr.endpointsVersion,
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -10,6 +10,7 @@
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
@@ -29,13 +30,16 @@
 	// requests.
 	catalogs  *catalogEncoder
 	onCatalog func(rosemarylb.Catalog)
+	meter     *meter.Meter
 }
 
 // ServeKeeper serves the permit requests of other instances on a listener. It calls
-// onCatalog, which must not block, with each configuration that a request carries.
+// onCatalog, which must not block, with each configuration that a request carries, and
+// counts the messages with m.
 // The returned function stops the server and waits for it to end.
 func ServeKeeper(
 	listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner, onCatalog func(rosemarylb.Catalog),
+	m *meter.Meter,
 ) func() {
 	s := grpc.NewServer()
 	link.RegisterKeeperServer(s, &permitServer{
@@ -44,6 +48,7 @@
 		witness:   k.Witness(),
 		catalogs:  &catalogEncoder{},
 		onCatalog: onCatalog,
+		meter:     m,
 	})
 	wait := duty.Spawn(func() {
 		_ = s.Serve(listener)
@@ -59,6 +64,11 @@
 func (s *permitServer) Ask(ctx context.Context, request *link.PermitRequest) (*link.PermitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
+	traffic := newControlTraffic(s.meter, meter.Location{
+		Domain: rosemarylb.DomainName(request.GetDomain()),
+		Region: rosemarylb.RegionName(request.GetRegion()),
+	})
+	traffic.received(request, len(request.GetCatalog()))
 	if err := s.receiveCatalog(request); err != nil {
 		return nil, err
 	}
@@ -77,6 +87,7 @@
 		if reply.IsHolder {
 			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
 		}
+		traffic.sent(encoded, len(encoded.GetCatalog()))
 		return encoded, nil
 	case <-ctx.Done():
 		return nil, errors.Wrap(ctx.Err(), "keeper")
@@ -121,6 +132,7 @@
 		Peer: rosemarylb.RelayPeer{
 			Address: request.GetRelayAddress(),
 			Region:  rosemarylb.RegionName(request.GetRegion()),
+			Domain:  rosemarylb.DomainName(request.GetDomain()),
 		},
 		CatalogVersion: request.GetCatalogVersion(),
 		Capacity:       int(request.GetCapacity()),
@@ -217,6 +229,7 @@
 		encoded.Peers = append(encoded.Peers, &link.Peer{
 			Address: p.Address,
 			Region:  string(p.Region),
+			Domain:  string(p.Domain),
 		})
 	}
 }
--- a/internal/peer/instance/size_test.go
+++ b/internal/peer/instance/size_test.go
@@ -62,6 +62,7 @@
 		relayPeer: rosemarylb.RelayPeer{
 			Address: "10.21.14.17:7440",
 			Region:  "north-1",
+			Domain:  "north-1-a",
 		},
 		capacity:         192,
 		peersVersion:     12<<32 + 80,
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -16,6 +16,7 @@
 	"rosemarylb/internal/peer/instance"
 	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -84,6 +85,8 @@
 	Directory rosemarylb.Directory
 	// Promoter performs promotions.
 	Promoter rosemarylb.Promoter
+	// Meter counts the bytes that are exchanged with other instances.
+	Meter *meter.Meter
 }
 
 // Instance is a running instance.
@@ -142,7 +145,7 @@
 			Catalog: c,
 		})
 	})
-	if err := i.startServers(id); err != nil {
+	if err := i.startServers(id, p); err != nil {
 		return err
 	}
 	i.addDuty(i.proxy.Start(i.clock))
@@ -171,12 +174,14 @@
 	relayPeer := rosemarylb.RelayPeer{
 		Address: id.RelayAddress,
 		Region:  id.Region,
+		Domain:  id.Domain,
 	}
 	i.addDuty(instance.NewPermitRequester(id.Instance, i.clock, p.Store, i.keeperRunner, i.proxy,
 		instance.WithPermitLogger(i.log),
 		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
 		instance.WithCapacity(id.Capacity),
 		instance.WithSeeds(id.Seeds),
+		instance.WithMeter(p.Meter),
 		instance.WithCatalogExchange(i.catalogs.Latest(), i.offerCatalog("keeper")),
 		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
@@ -205,13 +210,13 @@
 
 // startServers starts the servers for other instances, readiness checks, and
 // metrics and dumps.
-func (i *Instance) startServers(id Identity) error {
+func (i *Instance) startServers(id Identity, p Peers) error {
 	instanceListener, err := net.Listen("tcp", id.InstanceAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
 	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner,
-		i.offerCatalog("instance")))
+		i.offerCatalog("instance"), p.Meter))
 	readyListener, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
--- a/member.go
+++ b/member.go
@@ -68,6 +68,8 @@
 	Address string
 	// Region is the region of the instance.
 	Region RegionName
+	// Domain is the failure domain of the instance, empty if unknown.
+	Domain DomainName
 }
 
 // Overrides reports whether m replaces other: it has a later incarnation, or a
