--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -20,6 +20,10 @@
 	// storeRetryDelay is the delay before the record is read again after a read or
 	// write that was not answered.
 	storeRetryDelay = 100 * time.Millisecond
+	// maxReadDelay is the maximum of that delay for an instance without the lease. The
+	// delay doubles with each further read that is not answered, because calls that the
+	// store rejects are billed too.
+	maxReadDelay = time.Second
 	// PromotionTimeout is how long after its decision a promotion may be sent or be in
 	// transit.
 	PromotionTimeout = time.Second
@@ -181,6 +185,8 @@
 	// recordUncertain is true while an unanswered write may change the record.
 	recordUncertain bool
 	readNotBefore   time.Time
+	// readFailures counts the reads since the store last returned the record.
+	readFailures int
 	// availableSince is since when the lease may be taken, zero while it may not.
 	availableSince time.Time
 
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -11,6 +11,7 @@
 // no record.
 func (k Keeper) WithRecord(r Record, revision uint64, now time.Time) Keeper {
 	k.recordUncertain = false
+	k.readFailures = 0
 	if k.recordKnown && revision <= k.revision {
 		return k
 	}
@@ -75,10 +76,21 @@
 // WithReadUnanswered records that a read of the record was not answered.
 func (k Keeper) WithReadUnanswered(now time.Time) Keeper {
 	k.recordUncertain = true
-	k.readNotBefore = now.Add(storeRetryDelay)
+	k.readFailures++
+	k.readNotBefore = now.Add(k.readDelay())
 	return k
 }
 
+// readDelay returns the delay after a read that was not answered. An instance that holds
+// or releases the lease does not back off, since it has to learn whether its write took
+// effect.
+func (k Keeper) readDelay() time.Duration {
+	if k.holdsLease || k.shuttingDown {
+		return storeRetryDelay
+	}
+	return min(storeRetryDelay<<min(k.readFailures-1, 4), maxReadDelay)
+}
+
 // withLeaseConfirmed extends or starts the lease after the store has confirmed the
 // last write. The lease counts from when that write was sent.
 func (k Keeper) withLeaseConfirmed(now time.Time) Keeper {
--- a/internal/failover/keeperduty/clients.go
+++ b/internal/failover/keeperduty/clients.go
@@ -23,6 +23,10 @@
 	notifiedPollInterval = 100 * time.Millisecond
 	// watchRetryDelay is the delay after a watch that failed or found no record.
 	watchRetryDelay = 250 * time.Millisecond
+	// maxWatchRetryDelay is the maximum of that delay while the lease holder answers this
+	// instance. It doubles with each further failure, because calls that the store rejects
+	// are billed too.
+	maxWatchRetryDelay = time.Second
 )
 
 // recordRequest is a call to the store: a write of the record, or a read when write
@@ -109,6 +113,7 @@
 	notification    *duty.Latest[keeper.Notification]
 	version         uint64
 	nextAt          time.Time
+	failures        int
 }
 
 // Handle implements duty.Handler; the watcher receives no events.
@@ -126,9 +131,11 @@
 	defer cancel()
 	object, err := w.store.Watch(ctx, RecordName, w.version)
 	if err != nil {
-		w.nextAt = now.Add(watchRetryDelay)
+		w.failures++
+		w.nextAt = now.Add(w.retryDelay(now))
 		return
 	}
+	w.failures = 0
 	w.nextAt = now
 	w.storeAnsweredAt.Store(w.clock.Now())
 	if object.Version == 0 {
@@ -147,6 +154,15 @@
 	})
 }
 
+// retryDelay returns the delay after a failed watch. While the holder does not answer,
+// this instance may have to take the lease and does not back off.
+func (w *recordWatcher) retryDelay(now time.Time) time.Duration {
+	if !w.notification.Load().Fresh(now) {
+		return watchRetryDelay
+	}
+	return min(watchRetryDelay<<min(w.failures-1, 4), maxWatchRetryDelay)
+}
+
 // Next implements duty.Handler.
 func (w *recordWatcher) Next() time.Time {
 	return w.nextAt
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -31,6 +31,9 @@
 	initialBackoff = 250 * time.Millisecond
 	// maxBackoff is the maximum delay after a failed call.
 	maxBackoff = time.Second
+	// notifiedMaxBackoff is that maximum for the configuration while the keeper's replies
+	// carry it.
+	notifiedMaxBackoff = 2 * time.Second
 	// contentTimeout is how long a configuration that the keeper has announced may take
 	// to arrive before it is fetched from the directory. It is also the minimum time
 	// between two such fetches.
@@ -58,7 +61,11 @@
 
 // backoff returns the delay after a number of consecutive failures.
 func backoff(failures int) time.Duration {
-	return min(initialBackoff<<min(failures-1, 4), maxBackoff)
+	return backoffUpTo(failures, maxBackoff)
+}
+
+func backoffUpTo(failures int, limit time.Duration) time.Duration {
+	return min(initialBackoff<<min(failures-1, 4), limit)
 }
 
 // missingEndpoint is an endpoint that is no longer listed but still published.
@@ -233,7 +240,7 @@
 	next, revision, err := c.fetch()
 	if err != nil {
 		c.failures++
-		c.nextTickAt = now.Add(backoff(c.failures))
+		c.nextTickAt = now.Add(c.backoff(now))
 		if c.reachable {
 			c.log.Warn("dependency lost", "dependency", "configuration", "error", err)
 		}
@@ -258,6 +265,14 @@
 	}
 }
 
+// backoff returns the delay after a failed call.
+func (c *ConfigurationWatcher) backoff(now time.Time) time.Duration {
+	if c.notification.Load().Fresh(now) {
+		return backoffUpTo(c.failures, notifiedMaxBackoff)
+	}
+	return backoff(c.failures)
+}
+
 // knownVersion returns the latest version that was fetched or received otherwise.
 func (c *ConfigurationWatcher) knownVersion() uint64 {
 	return max(c.version, c.latest.Load().Version)
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -33,6 +33,11 @@
 	// recordReadInterval is the time between two reads of the record; two fit
 	// into the duration of a permit.
 	recordReadInterval = 200 * time.Millisecond
+	// maxRecordReadInterval is that time after reads that failed, because calls that the
+	// store rejects are billed too.
+	maxRecordReadInterval = 400 * time.Millisecond
+	// seedInterval is the time between two questions to seeds.
+	seedInterval = 200 * time.Millisecond
 	// recordReadTimeout bounds one read of the record.
 	recordReadTimeout = 400 * time.Millisecond
 	// redialFailureCount is the number of consecutive failed requests after which
@@ -72,7 +77,9 @@
 	lastReplyAt         time.Time
 	keeperSilent        bool
 	nextDeposeAt        time.Time
-	lastReadAt          time.Time
+	nextReadAt          time.Time
+	recordRead          bool
+	nextSeedAt          time.Time
 	nextRequestAt       time.Time
 	grantList           permit.GrantList
 	seeds               []string
@@ -235,12 +242,17 @@
 		pr.keeperSilent = true
 		pr.log.Warn("dependency lost", "dependency", "keeper", "address", pr.keeperAddress, "error", err)
 	}
-	if now.Sub(pr.lastReadAt) >= recordReadInterval {
-		pr.lastReadAt = now
-		if !pr.readRecord() {
-			pr.askSeed()
+	if !now.Before(pr.nextReadAt) {
+		pr.recordRead = pr.readRecord()
+		pr.nextReadAt = now.Add(recordReadInterval)
+		if !pr.recordRead {
+			pr.nextReadAt = now.Add(maxRecordReadInterval)
 		}
 	}
+	if !pr.recordRead && !now.Before(pr.nextSeedAt) {
+		pr.nextSeedAt = now.Add(seedInterval)
+		pr.askSeed()
+	}
 }
 
 func (pr *PermitRequester) markKeeperAlive(now time.Time) {
--- a/internal/peer/instance/size_test.go
+++ b/internal/peer/instance/size_test.go
@@ -97,3 +97,34 @@
 		t.Errorf("got a reply of %d bytes, want less than %d", got, maxBytes)
 	}
 }
+
+// An instance that the store rejects depends on configurations that fit into a reply.
+func TestCatalogSizes(t *testing.T) {
+	for _, count := range []int{82, 10_000} {
+		c := testCatalog(uint64(count))
+		for i := range 24 {
+			name := fmt.Sprintf("route-%d", i)
+			c.Routes[name] = rosemarylb.Route{
+				Database:      name,
+				Group:         rosemarylb.DatabaseName(fmt.Sprintf("inventory-%d", i%8)),
+				TimeoutMillis: 900,
+			}
+		}
+		var teams []rosemarylb.Team
+		for i := range count {
+			teams = append(teams, rosemarylb.Team{
+				Name:          rosemarylb.TeamName(fmt.Sprintf("team-%d", i)),
+				Keys:          []rosemarylb.KeyDigest{rosemarylb.NewKeyDigest(fmt.Sprintf("key-%d", i))},
+				RatePerSecond: float64(i) / 3,
+				Burst:         float64(i),
+				Priority:      1,
+			})
+		}
+		e := &catalogEncoder{}
+		got := len(e.encode(c.WithTeams(teams)))
+		t.Logf("%d teams: %d bytes", count, got)
+		if got == 0 {
+			t.Errorf("%d teams: got no configuration, want one that fits into a reply", count)
+		}
+	}
+}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -137,14 +137,7 @@
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
 	p.SetProbeSink(i.keeperRunner)
-	i.catalogs = registry.NewConfiguration(i.log, func(c rosemarylb.Catalog) {
-		i.proxy.Ring().Put(proxy.CatalogChanged{
-			Catalog: c,
-		})
-		i.keeperRunner.Ring().Put(keeperduty.CatalogChanged{
-			Catalog: c,
-		})
-	})
+	i.catalogs = registry.NewConfiguration(i.log, i.publishCatalog)
 	if err := i.startServers(id, p); err != nil {
 		return err
 	}
@@ -197,6 +190,16 @@
 	return nil
 }
 
+// publishCatalog passes a later version of the configuration to the duties that use it.
+func (i *Instance) publishCatalog(c rosemarylb.Catalog) {
+	i.proxy.Ring().Put(proxy.CatalogChanged{
+		Catalog: c,
+	})
+	i.keeperRunner.Ring().Put(keeperduty.CatalogChanged{
+		Catalog: c,
+	})
+}
+
 // offerCatalog returns a function that passes on a configuration from another instance.
 // One that meets a full ring is dropped, since the other instance sends it again.
 func (i *Instance) offerCatalog(source string) func(rosemarylb.Catalog) {
--- a/internal/standin/objects/view.go
+++ b/internal/standin/objects/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -31,9 +32,10 @@
 	store   *Store
 	rewrite func(kind string, spec json.RawMessage) json.RawMessage
 
-	mu        sync.Mutex
-	faults    Faults
-	callCount int
+	mu          sync.Mutex
+	faults      Faults
+	callCount   int
+	callsByKind map[string]int
 }
 
 // View returns a view for one instance. Objects that it reads pass through the
@@ -42,6 +44,8 @@
 	return &View{
 		store:   s,
 		rewrite: rewrite,
+
+		callsByKind: map[string]int{},
 	}
 }
 
@@ -59,11 +63,29 @@
 	return v.callCount
 }
 
+// CallsByKind returns the number of calls received through the view, by a text such as
+// "GET servers" or "WATCH config".
+func (v *View) CallsByKind() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.callsByKind)
+}
+
+// callKind describes a call for CallsByKind.
+func callKind(r *http.Request) string {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	if r.URL.Query().Get("watch") != "" {
+		return "WATCH " + kind
+	}
+	return r.Method + " " + kind
+}
+
 // countCall counts a call and returns the faults that apply to it.
-func (v *View) countCall() Faults {
+func (v *View) countCall(r *http.Request) Faults {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.callCount++
+	v.callsByKind[callKind(r)]++
 	return v.faults
 }
 
@@ -73,7 +95,7 @@
 	s.mu.Lock()
 	s.callCount++
 	s.mu.Unlock()
-	faults := v.countCall()
+	faults := v.countCall(r)
 	time.Sleep(faults.Delay)
 	if faults.Status != 0 {
 		w.WriteHeader(faults.Status)
