--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -43,6 +43,8 @@
 	notHolding      *duty.Latest[bool]
 	witness         *Witness
 	endpoints       endpointList
+	catalog         rosemarylb.Catalog
+	grantLists      grantLists
 	storeAnsweredAt *duty.Latest[time.Time]
 }
 
@@ -173,6 +175,9 @@
 	case EndpointsChanged:
 		r.keeper = r.keeper.WithEndpoints(e.Endpoints)
 		r.endpoints = newEndpointList(e.Endpoints)
+	case CatalogChanged:
+		r.catalog = e.Catalog
+		return
 	case holderAnswered:
 		r.keeper = r.keeper.WithLeaseNotification(now)
 	case RetireRequested:
@@ -206,13 +211,20 @@
 // handlePermitRequest replies at once. The reply is dropped if the requester does
 // not receive it.
 func (r *Runner) handlePermitRequest(e PermitRequested, now time.Time) {
+	e.Report.Observations = append(e.Report.Observations, r.grantLists.resolve(e.GrantsVersion, e.Indexed)...)
 	r.keeper = r.keeper.WithReport(e.Report, now)
 	grants, holds := r.keeper.Grants(now)
 	record := r.keeper.Record()
+	version := uint64(0)
+	if holds {
+		r.grantLists = r.grantLists.withGrants(record.Token, grants)
+		grants, version = r.grantLists.order(grants), r.grantLists.version()
+	}
 	select {
 	case e.Reply <- PermitReply{
 		IsHolder:      holds,
 		Grants:        grants,
+		GrantsVersion: version,
 		Share:         r.keeper.Share(e.Report.From),
 		ReleasedToken: r.keeper.ReleasedToken(),
 		HolderAddress: record.Address,
@@ -224,6 +236,7 @@
 		CatalogVersion:   r.keeper.LatestCatalogVersion(),
 		Endpoints:        r.endpoints.endpoints,
 		EndpointsVersion: r.endpoints.version,
+		Catalog:          r.catalog,
 	}:
 	default:
 	}
--- a/internal/peer/instance/notification.go
+++ b/internal/peer/instance/notification.go
@@ -39,8 +39,10 @@
 	}
 	pr.peers = peers
 	pr.peersVersion = reply.GetPeersVersion()
+	all := slices.Collect(maps.Values(peers))
+	pr.meter.SetPeers(all)
 	pr.proxyRing.Put(proxy.PeersChanged{
-		Peers: slices.Collect(maps.Values(peers)),
+		Peers: all,
 	})
 }
 
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"rosemarylb"
@@ -11,6 +12,7 @@
 	"rosemarylb/internal/failover/permit"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +33,11 @@
 	// recordReadInterval is the time between two reads of the record; two fit
 	// into the duration of a permit.
 	recordReadInterval = 200 * time.Millisecond
+	// maxRecordReadInterval is that time after reads that failed, because calls that the
+	// store rejects are billed too.
+	maxRecordReadInterval = 400 * time.Millisecond
+	// seedInterval is the time between two questions to seeds.
+	seedInterval = 200 * time.Millisecond
 	// recordReadTimeout bounds one read of the record.
 	recordReadTimeout = 400 * time.Millisecond
 	// redialFailureCount is the number of consecutive failed requests after which
@@ -38,6 +45,9 @@
 	redialFailureCount = 2
 	// maxDialBackoff is the longest backoff between two attempts to connect.
 	maxDialBackoff = 200 * time.Millisecond
+	// catalogResendInterval is the time after which a configuration is sent to the
+	// keeper again that still announces an older one.
+	catalogResendInterval = time.Second
 )
 
 // PermitRequester is the duty that requests permits from the keeper, and derives them
@@ -67,8 +77,15 @@
 	lastReplyAt         time.Time
 	keeperSilent        bool
 	nextDeposeAt        time.Time
-	lastReadAt          time.Time
+	nextReadAt          time.Time
+	recordRead          bool
+	nextSeedAt          time.Time
 	nextRequestAt       time.Time
+	grantList           permit.GrantList
+	seeds               []string
+	nextSeed            int
+	catalogs            catalogExchange
+	meter               *meter.Meter
 }
 
 // leaseHolder is the address and the token of a lease holder that another
@@ -117,6 +134,34 @@
 	}
 }
 
+// WithCatalogExchange sets the configuration that this instance has, which is sent to
+// a keeper with an older one, and the function that receives the keeper's. The
+// function must not block.
+func WithCatalogExchange(
+	current *duty.Latest[rosemarylb.Catalog], onCatalog func(rosemarylb.Catalog),
+) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.catalogs.current = current
+		pr.catalogs.onCatalog = onCatalog
+	}
+}
+
+// WithSeeds sets the host:port of instances that are asked for the lease holder while
+// neither the keeper nor the store answers. The instance's own address is skipped.
+func WithSeeds(addresses []string) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.seeds = addresses
+	}
+}
+
+// WithMeter sets the meter that counts the messages, and is told of the peers. The
+// default counts them without their distance.
+func WithMeter(m *meter.Meter) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.meter = m
+	}
+}
+
 // NewPermitRequester returns a duty of an instance that is not yet started. It puts
 // permits, shares, peers and endpoints into the rings of the proxy and of the
 // keeper's duty, and reads the record in the store while the keeper is silent.
@@ -135,10 +180,18 @@
 		proxyStatus:     p.Status(),
 		proxyRing:       p.Ring(),
 		nextRequestAt:   clock.Now(),
+		meter:           meter.NewMeter(meter.Location{}),
+		catalogs: catalogExchange{
+			current:   duty.NewLatest(rosemarylb.Catalog{}),
+			onCatalog: func(rosemarylb.Catalog) {},
+		},
 	}
 	for _, o := range options {
 		o(pr)
 	}
+	pr.seeds = slices.DeleteFunc(slices.Clone(pr.seeds), func(address string) bool {
+		return address == pr.address
+	})
 	return pr
 }
 
@@ -189,9 +242,16 @@
 		pr.keeperSilent = true
 		pr.log.Warn("dependency lost", "dependency", "keeper", "address", pr.keeperAddress, "error", err)
 	}
-	if now.Sub(pr.lastReadAt) >= recordReadInterval {
-		pr.lastReadAt = now
-		pr.readRecord()
+	if !now.Before(pr.nextReadAt) {
+		pr.recordRead = pr.readRecord()
+		pr.nextReadAt = now.Add(recordReadInterval)
+		if !pr.recordRead {
+			pr.nextReadAt = now.Add(maxRecordReadInterval)
+		}
+	}
+	if !pr.recordRead && !now.Before(pr.nextSeedAt) {
+		pr.nextSeedAt = now.Add(seedInterval)
+		pr.askSeed()
 	}
 }
 
@@ -218,7 +278,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	reply, err := client.Ask(ctx, pr.newRequest(now))
+	request := pr.newRequest(now)
+	traffic := newControlTrafficTo(pr.meter, pr.keeperAddress)
+	traffic.sent(request, len(request.GetCatalog()))
+	reply, err := client.Ask(ctx, request)
 	if err != nil {
 		pr.consecutiveFailures++
 		if pr.consecutiveFailures >= redialFailureCount {
@@ -226,6 +289,7 @@
 		}
 		return errors.Wrap(err, "keeper")
 	}
+	traffic.received(reply, len(reply.GetCatalog()))
 	pr.consecutiveFailures = 0
 	if token := reply.GetReleased(); token != 0 {
 		pr.keeperRunner.Ring().Put(keeperduty.LeaseReleased{
@@ -233,12 +297,7 @@
 		})
 	}
 	if !reply.GetKeeper() {
-		if reply.GetToken() > pr.keeperToken {
-			pr.holderHint = leaseHolder{
-				address: reply.GetHolderAddress(),
-				token:   reply.GetToken(),
-			}
-		}
+		pr.observeHolder(reply)
 		return errNotKeeper
 	}
 	if !pr.keeperRunner.Witness().ObserveAnswer(pr.keeperToken, now) {
@@ -251,14 +310,40 @@
 			Index:   int(reply.GetIndex()),
 		},
 	})
-	pr.proxyRing.Put(proxy.PermitsReceived{
-		Permits: permit.FromGrants(decodeGrants(reply), now),
-	})
+	pr.applyGrants(reply, now)
 	pr.updatePeers(reply)
+	if err := pr.catalogs.receive(reply, pr.keeperToken); err != nil {
+		pr.log.Error("cannot decode the keeper's configuration", "bytes", len(reply.GetCatalog()), "error", err)
+	}
 	pr.applyNotification(reply, now)
 	return nil
 }
 
+// observeHolder stores the lease holder that a reply names, if it is a later one.
+func (pr *PermitRequester) observeHolder(reply *link.PermitReply) {
+	if reply.GetToken() > max(pr.keeperToken, pr.holderHint.token) {
+		pr.holderHint = leaseHolder{
+			address: reply.GetHolderAddress(),
+			token:   reply.GetToken(),
+		}
+	}
+}
+
+// applyGrants passes the permits of a holder's reply to the proxy. They count from the
+// time of the request. A reply that refers to an unknown list grants nothing; the next
+// one brings the whole list.
+func (pr *PermitRequester) applyGrants(reply *link.PermitReply, requestedAt time.Time) {
+	grants, list, err := receiveGrants(reply, pr.grantList, pr.keeperToken)
+	pr.grantList = list
+	if err != nil {
+		pr.log.Warn("grants ignored", "address", pr.keeperAddress, "error", err)
+		return
+	}
+	pr.proxyRing.Put(proxy.PermitsReceived{
+		Permits: permit.FromGrants(grants, requestedAt),
+	})
+}
+
 func (pr *PermitRequester) newRequest(now time.Time) *link.PermitRequest {
 	request := &link.PermitRequest{
 		From:         string(pr.self),
@@ -272,32 +357,27 @@
 		EndpointsVersion: pr.endpointsVersion,
 		CatalogVersion:   pr.proxyStatus.Load().CatalogVersion,
 		Capacity:         uint32(pr.capacity),
+		Catalog:          pr.catalogs.contentFor(pr.keeperToken, now),
 	}
-	for _, o := range pr.proxyStatus.Load().Observations {
-		request.Evidence = append(request.Evidence, &link.Evidence{
-			Group:          string(o.Group),
-			Primary:        string(o.Primary),
-			AnsweredMicros: microsSince(o.AnsweredAt, now),
-			FailingMicros:  microsSince(o.FirstFailureAt, now),
-		})
-	}
+	encodeObservations(request, pr.proxyStatus.Load().Observations, pr.grantList, pr.keeperToken, now)
 	return request
 }
 
 // readRecord reads the keeper's record in the store and derives permits from it;
-// they count from before the read.
-func (pr *PermitRequester) readRecord() {
+// they count from before the read. It returns false if there is no record or it cannot
+// be read.
+func (pr *PermitRequester) readRecord() bool {
 	requestedAt := pr.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), recordReadTimeout)
 	defer cancel()
 	o, err := pr.store.Get(ctx, keeperduty.RecordName)
 	if err != nil || o.Version == 0 {
-		return
+		return false
 	}
 	r, err := keeper.ParseRecord(o.Value)
 	if err != nil {
 		pr.log.Error("the keeper's record cannot be read", "revision", o.Version, "error", err)
-		return
+		return false
 	}
 	if !pr.shareKnown && r.Members > 0 {
 		pr.proxyRing.Put(proxy.ShareChanged{
@@ -310,6 +390,7 @@
 	pr.proxyRing.Put(proxy.PermitsReceived{
 		Permits: permit.FromRecord(r, requestedAt),
 	})
+	return true
 }
 
 // keeperClient returns a client of the lease holder with the highest known token,
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -10,6 +10,7 @@
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
@@ -25,16 +26,29 @@
 	clock   rosemarylb.Clock
 	ring    *duty.Ring[keeperduty.Event]
 	witness *keeperduty.Witness
+	// catalogs encodes the configuration in replies, and onCatalog receives it from
+	// requests.
+	catalogs  *catalogEncoder
+	onCatalog func(rosemarylb.Catalog)
+	meter     *meter.Meter
 }
 
-// ServeKeeper serves the permit requests of other instances on a listener. The
-// returned function stops the server and waits for it to end.
-func ServeKeeper(listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner) func() {
+// ServeKeeper serves the permit requests of other instances on a listener. It calls
+// onCatalog, which must not block, with each configuration that a request carries, and
+// counts the messages with m.
+// The returned function stops the server and waits for it to end.
+func ServeKeeper(
+	listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner, onCatalog func(rosemarylb.Catalog),
+	m *meter.Meter,
+) func() {
 	s := grpc.NewServer()
 	link.RegisterKeeperServer(s, &permitServer{
-		clock:   clock,
-		ring:    k.Ring(),
-		witness: k.Witness(),
+		clock:     clock,
+		ring:      k.Ring(),
+		witness:   k.Witness(),
+		catalogs:  &catalogEncoder{},
+		onCatalog: onCatalog,
+		meter:     m,
 	})
 	wait := duty.Spawn(func() {
 		_ = s.Serve(listener)
@@ -50,21 +64,59 @@
 func (s *permitServer) Ask(ctx context.Context, request *link.PermitRequest) (*link.PermitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
+	traffic := newControlTraffic(s.meter, meter.Location{
+		Domain: rosemarylb.DomainName(request.GetDomain()),
+		Region: rosemarylb.RegionName(request.GetRegion()),
+	})
+	traffic.received(request, len(request.GetCatalog()))
+	if err := s.receiveCatalog(request); err != nil {
+		return nil, err
+	}
 	replies := make(chan keeperduty.PermitReply, 1)
 	if !s.ring.Offer(keeperduty.PermitRequested{
-		Report: decodeReport(request, s.clock.Now()),
-		Reply:  replies,
+		Report:        decodeReport(request, s.clock.Now()),
+		Indexed:       decodeIndexed(request, s.clock.Now()),
+		GrantsVersion: request.GetGrantsVersion(),
+		Reply:         replies,
 	}) {
 		return &link.PermitReply{}, nil
 	}
 	select {
 	case reply := <-replies:
-		return encodePermitReply(reply, request.GetPeersVersion(), request.GetEndpointsVersion()), nil
+		encoded := encodePermitReply(reply, request)
+		if reply.IsHolder {
+			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
+		}
+		traffic.sent(encoded, len(encoded.GetCatalog()))
+		return encoded, nil
 	case <-ctx.Done():
 		return nil, errors.Wrap(ctx.Err(), "keeper")
 	}
 }
 
+// receiveCatalog passes on the configuration in a request. It returns an error
+// marked as errInvalidCatalog if it cannot be decoded.
+func (s *permitServer) receiveCatalog(request *link.PermitRequest) error {
+	if len(request.GetCatalog()) == 0 {
+		return nil
+	}
+	catalog, err := decodeCatalog(request.GetCatalog())
+	if err != nil {
+		return err
+	}
+	s.onCatalog(catalog)
+	return nil
+}
+
+// addCatalog adds the configuration to the reply to an instance that has an older
+// version.
+func (s *permitServer) addCatalog(reply *link.PermitReply, c rosemarylb.Catalog, version uint64) {
+	reply.CatalogHeld = c.Version
+	if c.Version > version {
+		reply.Catalog = s.catalogs.encode(c)
+	}
+}
+
 // Depose implements link.KeeperServer.
 func (s *permitServer) Depose(_ context.Context, request *link.DeposeRequest) (*link.DeposeReply, error) {
 	return &link.DeposeReply{
@@ -114,9 +166,9 @@
 	return max(now.Sub(at).Microseconds(), 0)
 }
 
-// encodePermitReply encodes a reply to an instance that has the given versions of
-// the lists of peers and endpoints; a list that it has already is left out.
-func encodePermitReply(reply keeperduty.PermitReply, peersVersion, endpointsVersion uint64) *link.PermitReply {
+// encodePermitReply encodes a reply to a request. The lists of peers, endpoints and
+// grants are left out if the instance has them already, by the versions in its request.
+func encodePermitReply(reply keeperduty.PermitReply, request *link.PermitRequest) *link.PermitReply {
 	encoded := &link.PermitReply{
 		Keeper:        reply.IsHolder,
 		Members:       uint32(reply.Share.Members),
@@ -130,26 +182,43 @@
 		encoded.Follows = reply.WatchesStore
 		encoded.CatalogVersion = reply.CatalogVersion
 		encoded.EndpointsVersion = reply.EndpointsVersion
-		if reply.EndpointsVersion != endpointsVersion {
+		if reply.EndpointsVersion != request.GetEndpointsVersion() {
 			encoded.Endpoints = encodeEndpoints(reply.Endpoints)
 		}
 	}
-	if reply.IsHolder && reply.Peers.Version() != peersVersion {
-		encodePeerUpdate(encoded, reply.Peers.UpdateSince(peersVersion))
+	if version := request.GetPeersVersion(); reply.IsHolder && reply.Peers.Version() != version {
+		encodePeerUpdate(encoded, reply.Peers.UpdateSince(version))
+	}
+	encoded.GrantsVersion = reply.GrantsVersion
+	if reply.GrantsVersion != 0 && reply.GrantsVersion == request.GetGrantsVersion() {
+		// The instance has asked this address, so that it needs no other.
+		encoded.HolderAddress = ""
+		encoded.SameGrants = true
+		encodePositions(encoded, reply.Grants)
+		return encoded
 	}
-	for _, g := range reply.Grants {
-		p := &link.GrantedPermit{
-			Group:   string(g.Group),
-			Primary: string(g.Primary),
-			Term:    uint64(g.Term),
+	encoded.Permits = encodeGrants(reply.Grants)
+	return encoded
+}
+
+// decodeIndexed decodes the observations that a request gives by the place of their
+// grant.
+func decodeIndexed(request *link.PermitRequest, now time.Time) []keeperduty.IndexedObservation {
+	var indexed []keeperduty.IndexedObservation
+	failing := request.GetFailingMicros()
+	for place, answered := range request.GetAnsweredMicros() {
+		o := keeperduty.IndexedObservation{
+			Place:      place,
+			AnsweredAt: timeBefore(now, int64(answered)-1),
 		}
-		if !g.Position.IsZero() {
-			p.Position = encodePosition(g.Position)
-			p.PositionMicros = g.PositionMicros
+		if place < len(failing) {
+			o.FirstFailureAt = timeBefore(now, int64(failing[place])-1)
+		}
+		if !o.AnsweredAt.IsZero() || !o.FirstFailureAt.IsZero() {
+			indexed = append(indexed, o)
 		}
-		encoded.Permits = append(encoded.Permits, p)
 	}
-	return encoded
+	return indexed
 }
 
 func encodePeerUpdate(encoded *link.PermitReply, update keeper.PeerUpdate) {
@@ -165,23 +234,6 @@
 	}
 }
 
-func decodeGrants(r *link.PermitReply) []keeper.Grant {
-	var grants []keeper.Grant
-	for _, p := range r.GetPermits() {
-		g := keeper.Grant{
-			Group:          rosemarylb.DatabaseName(p.GetGroup()),
-			Primary:        rosemarylb.EndpointID(p.GetPrimary()),
-			Term:           rosemarylb.Term(p.GetTerm()),
-			PositionMicros: p.GetPositionMicros(),
-		}
-		if p.GetPosition() != nil {
-			g.Position = decodePosition(p.GetPosition())
-		}
-		grants = append(grants, g)
-	}
-	return grants
-}
-
 func encodeEndpoints(specs []rosemarylb.EndpointSpec) []*link.Endpoint {
 	var encoded []*link.Endpoint
 	for _, e := range specs {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -16,6 +16,7 @@
 	"rosemarylb/internal/peer/instance"
 	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -49,6 +50,9 @@
 	// Capacity is the processor time that the instance may use, in thousandths of a
 	// core, 0 if unknown.
 	Capacity int
+	// Seeds are the host:port of instances that are asked for the lease holder while the
+	// store does not answer.
+	Seeds []string
 	// InstanceAddress is the host:port for other instances.
 	InstanceAddress string
 	// RelayAddress is the host:port for queries that other instances relay.
@@ -81,6 +85,8 @@
 	Directory rosemarylb.Directory
 	// Promoter performs promotions.
 	Promoter rosemarylb.Promoter
+	// Meter counts the bytes that are exchanged with other instances.
+	Meter *meter.Meter
 }
 
 // Instance is a running instance.
@@ -89,6 +95,7 @@
 	clock        rosemarylb.Clock
 	proxy        *proxy.Proxy
 	keeperRunner *keeperduty.Runner
+	catalogs     *registry.Configuration
 	duties       []*duty.Duty
 	cleanups     []func()
 }
@@ -130,7 +137,8 @@
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
 	p.SetProbeSink(i.keeperRunner)
-	if err := i.startServers(id); err != nil {
+	i.catalogs = registry.NewConfiguration(i.log, i.publishCatalog)
+	if err := i.startServers(id, p); err != nil {
 		return err
 	}
 	i.addDuty(i.proxy.Start(i.clock))
@@ -139,11 +147,14 @@
 	duties, stop := i.keeperRunner.Start(p.Store, p.Promoter, p.Probes, storeAnsweredAt, notification)
 	i.duties = append(i.duties, duties...)
 	i.cleanups = append(i.cleanups, stop)
-	i.addDuty(registry.StartConfigurationWatcher(i.clock, p.Directory, i.log, notification, func(c rosemarylb.Catalog) {
-		i.proxy.Ring().Put(proxy.CatalogChanged{
-			Catalog: c,
-		})
-	}))
+	i.addDuty(i.catalogs.Start(i.clock))
+	i.addDuty(registry.StartConfigurationWatcher(i.clock, p.Directory, i.log, notification, i.catalogs.Latest(),
+		func(c rosemarylb.Catalog) {
+			i.catalogs.Ring().Put(registry.ConfigurationReceived{
+				Catalog: c,
+				Source:  "store",
+			})
+		}))
 	i.addDuty(registry.StartEndpointWatcher(i.clock, p.Directory, i.log, storeAnsweredAt, notification,
 		func(endpoints []rosemarylb.EndpointSpec) {
 			i.proxy.Ring().Put(proxy.EndpointsChanged{
@@ -162,6 +173,9 @@
 		instance.WithPermitLogger(i.log),
 		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
 		instance.WithCapacity(id.Capacity),
+		instance.WithSeeds(id.Seeds),
+		instance.WithMeter(p.Meter),
+		instance.WithCatalogExchange(i.catalogs.Latest(), i.offerCatalog("keeper")),
 		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
@@ -176,14 +190,36 @@
 	return nil
 }
 
+// publishCatalog passes a later version of the configuration to the duties that use it.
+func (i *Instance) publishCatalog(c rosemarylb.Catalog) {
+	i.proxy.Ring().Put(proxy.CatalogChanged{
+		Catalog: c,
+	})
+	i.keeperRunner.Ring().Put(keeperduty.CatalogChanged{
+		Catalog: c,
+	})
+}
+
+// offerCatalog returns a function that passes on a configuration from another instance.
+// One that meets a full ring is dropped, since the other instance sends it again.
+func (i *Instance) offerCatalog(source string) func(rosemarylb.Catalog) {
+	return func(c rosemarylb.Catalog) {
+		i.catalogs.Ring().Offer(registry.ConfigurationReceived{
+			Catalog: c,
+			Source:  source,
+		})
+	}
+}
+
 // startServers starts the servers for other instances, readiness checks, and
 // metrics and dumps.
-func (i *Instance) startServers(id Identity) error {
+func (i *Instance) startServers(id Identity, p Peers) error {
 	instanceListener, err := net.Listen("tcp", id.InstanceAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner))
+	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner,
+		i.offerCatalog("instance"), p.Meter))
 	readyListener, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
--- a/member.go
+++ b/member.go
@@ -66,10 +66,10 @@
 type RelayPeer struct {
 	// Address is the host:port for relayed queries.
 	Address string
-	// Domain is the failure domain of the instance.
-	Domain DomainName
-	// Region is the region of the domain.
+	// Region is the region of the instance.
 	Region RegionName
+	// Domain is the failure domain of the instance, empty if unknown.
+	Domain DomainName
 }
 
 // Overrides reports whether m replaces other: it has a later incarnation, or a
