--- /dev/null
+++ b/internal/traffic/quota/ledger.go
@@ -0,0 +1,241 @@
+package quota
+
+import (
+	"time"
+
+	"rosemarylb"
+
+	"github.com/benbjohnson/immutable"
+)
+
+const (
+	// sweepInterval is the time between two checks of all instances for silent ones.
+	sweepInterval = 50 * time.Millisecond
+	// maxAdvanceGap is the time between two calls above which the keeper is taken to
+	// have been paused. All instances may have used their standing rates meanwhile.
+	maxAdvanceGap = 100 * time.Millisecond
+)
+
+// Tenure describes how a keeper came to hold the lease.
+type Tenure struct {
+	// GrantsFrom is when the predecessor can no longer grant tokens.
+	GrantsFrom time.Time
+	// Members is the number of instances that the predecessor counted, 0 if unknown.
+	Members int
+	// First is true if no instance held the lease before.
+	First bool
+}
+
+// Ledger is the keeper's account of the tokens and standing rates of all teams. It is
+// immutable.
+type Ledger struct {
+	catalog         rosemarylb.Catalog
+	grantsFrom      time.Time
+	unreportedUntil time.Time
+	reducedUntil    time.Time
+	expectedMembers int
+	seenMembers     int
+	advancedAt      time.Time
+	sweptAt         time.Time
+	buckets         *immutable.Map[string, bucket]
+	members         *immutable.Map[string, member]
+}
+
+// NewLedger returns the ledger of a keeper that has just taken the lease.
+func NewLedger(t Tenure, catalog rosemarylb.Catalog) Ledger {
+	l := Ledger{
+		catalog:         catalog,
+		grantsFrom:      t.GrantsFrom,
+		unreportedUntil: t.GrantsFrom.Add(standingLifetime),
+		reducedUntil:    t.GrantsFrom.Add(window),
+		expectedMembers: t.Members,
+		buckets:         immutable.NewMap[string, bucket](nil),
+		members:         immutable.NewMap[string, member](nil),
+	}
+	if t.First {
+		l.unreportedUntil = t.GrantsFrom
+	}
+	return l
+}
+
+// WithCatalog applies a configuration. Lower limits take effect at once.
+func (l Ledger) WithCatalog(c rosemarylb.Catalog, now time.Time) Ledger {
+	if !c.Supersedes(l.catalog) {
+		return l
+	}
+	l = l.Advanced(now)
+	l.catalog = c
+	for i := l.buckets.Iterator(); !i.Done(); {
+		name, b, _ := i.Next()
+		t, _ := c.Team(rosemarylb.TeamName(name))
+		l.buckets = l.buckets.Set(name, b.settled(now, l.unreportedUntil).withLimits(t, now))
+	}
+	return l
+}
+
+// Advanced returns the ledger at a later time. It has to be called more often than
+// maxAdvanceGap, or the buckets gain less.
+func (l Ledger) Advanced(now time.Time) Ledger {
+	if !l.advancedAt.IsZero() && now.Sub(l.advancedAt) > maxAdvanceGap {
+		l = l.withPause(now)
+	}
+	l.advancedAt = now
+	if now.Sub(l.sweptAt) < sweepInterval {
+		return l
+	}
+	l.sweptAt = now
+	for i := l.members.Iterator(); !i.Done(); {
+		id, m, _ := i.Next()
+		switch {
+		case m.isExpired(now):
+			l = l.withHoldings(m, -1, now)
+			l.members = l.members.Delete(id)
+		case !m.silent && m.isSilent(now):
+			l = l.withHoldings(m, -1, now)
+			m.silent = true
+			l = l.withHoldings(m, 1, now)
+			l.members = l.members.Set(id, m)
+		}
+	}
+	return l
+}
+
+// withPause fills the buckets as if all standing rates had been in use until now.
+func (l Ledger) withPause(now time.Time) Ledger {
+	for i := l.buckets.Iterator(); !i.Done(); {
+		name, b, _ := i.Next()
+		used := b.promisedMillis
+		if b.settledAt.Before(l.unreportedUntil) {
+			used += b.unreportedMillis()
+		}
+		l.buckets = l.buckets.Set(name, b.settled(l.advancedAt, l.unreportedUntil).filled(now, used))
+	}
+	return l
+}
+
+// bucket returns the bucket of a team that has a quota, settled at the given time.
+func (l Ledger) bucket(t rosemarylb.Team, now time.Time) bucket {
+	b, found := l.buckets.Get(string(t.Name))
+	if !found {
+		b = bucket{
+			team:      t.Name,
+			rate:      t.RatePerSecond,
+			burst:     burstOf(t),
+			settledAt: l.grantsFrom,
+		}
+	}
+	return b.settled(now, l.unreportedUntil)
+}
+
+// withHoldings adds the holdings of a member to the buckets, or subtracts them.
+func (l Ledger) withHoldings(m member, sign int64, now time.Time) Ledger {
+	for _, h := range m.holdings {
+		b, found := l.buckets.Get(h.team)
+		if !found {
+			continue
+		}
+		b = b.settled(now, l.unreportedUntil)
+		b.promisedMillis += sign * h.standingMillis
+		b.demandMillis += sign * h.demandMillis
+		if m.silent {
+			b.silentMillis += sign * h.standingMillis
+		}
+		l.buckets = l.buckets.Set(h.team, b)
+	}
+	return l
+}
+
+// WithRequest answers a request that was received now. A request that arrives after a
+// later one of the same instance is not answered.
+func (l Ledger) WithRequest(r Request, now time.Time) (Ledger, Reply) {
+	l = l.Advanced(now)
+	m, known := l.members.Get(string(r.From))
+	if known && m.isStale(r) {
+		return l, Reply{}
+	}
+	if known {
+		l = l.withHoldings(m, -1, now)
+	} else {
+		l = l.withMemberSeen(now)
+	}
+	m = m.withRequest(r, now)
+	reply := Reply{
+		Answered: true,
+	}
+	for _, d := range r.Demands {
+		var g Grant
+		l, m, g = l.withDemand(m, d, now)
+		reply.Grants = append(reply.Grants, g)
+	}
+	l = l.withHoldings(m, 1, now)
+	l.members = l.members.Set(string(r.From), m)
+	return l, reply
+}
+
+// withMemberSeen counts an instance. Once as many have reported as the predecessor
+// counted, no standing rate is unreported.
+func (l Ledger) withMemberSeen(now time.Time) Ledger {
+	l.seenMembers++
+	if l.seenMembers == l.expectedMembers && now.Before(l.unreportedUntil) {
+		// The rates that this last instance reports are not in the buckets yet, which it
+		// enters at the same time.
+		l.unreportedUntil = now
+	}
+	return l
+}
+
+// withDemand answers one demand of a member whose former holdings are not in the
+// buckets, and adds the new holding to the member.
+func (l Ledger) withDemand(m member, d Demand, now time.Time) (Ledger, member, Grant) {
+	t, found := l.catalog.Team(d.Team)
+	if !found {
+		// The instance may know a later configuration.
+		return l, m, Grant{
+			Held: d.Waiting,
+		}
+	}
+	if !t.HasQuota() {
+		return l, m, Grant{
+			Tokens: d.Wanted,
+		}
+	}
+	b := l.bucket(t, now)
+	var g Grant
+	b, g.Tokens = b.withGrant(d.Wanted, now)
+	g.StandingMillis = l.standingMillis(b, d, now)
+	l.buckets = l.buckets.Set(string(d.Team), b)
+	m.holdings = append(m.holdings, holding{
+		team:           string(d.Team),
+		standingMillis: max(g.StandingMillis, d.StandingMillis),
+		demandMillis:   d.RateMillis,
+	})
+	short := d.Waiting - g.Tokens
+	if short <= 0 {
+		return l, m, g
+	}
+	credit := b.credit(now.Before(l.reducedUntil))
+	share := float64(d.RateMillis) / float64(max(b.demandMillis+d.RateMillis, 1))
+	if credit >= 1 {
+		g.Held = min(short, max(int(credit*share), 1))
+	}
+	if g.Held < short {
+		g.RetryMillis = b.retryMillis(credit - float64(g.Held))
+	}
+	return l, m, g
+}
+
+// standingMillis returns an instance's standing rate: its share of the demand, of what
+// other instances do not hold.
+func (l Ledger) standingMillis(b bucket, d Demand, now time.Time) int64 {
+	limit := b.standingLimitMillis()
+	available := limit - b.promisedMillis
+	if now.Before(l.unreportedUntil) {
+		available = min(available, d.StandingMillis)
+	}
+	share := int64(float64(limit) * float64(d.RateMillis) / float64(max(b.demandMillis+d.RateMillis, 1)))
+	standing := min(share, available)
+	if standing < minStandingMillis {
+		return 0
+	}
+	return standing
+}
--- /dev/null
+++ b/internal/traffic/quota/ledger_test.go
@@ -0,0 +1,112 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"rosemarylb"
+)
+
+// askLedger sends a request of an instance for one team.
+func askLedger(l Ledger, from rosemarylb.InstanceID, sequence uint64, d Demand, now time.Time) (Ledger, Grant) {
+	d.Team = "team"
+	l, reply := l.WithRequest(Request{
+		From:         from,
+		Sequence:     sequence,
+		Acknowledged: sequence - 1,
+		Demands:      []Demand{d},
+	}, now)
+	return l, reply.Grants[0]
+}
+
+// TestSuccessorWaitsForItsPredecessor guards against tokens of a keeper whose deposed
+// predecessor may still grant, and whose instances may use standing rates.
+func TestSuccessorWaitsForItsPredecessor(t *testing.T) {
+	now := time.Unix(100, 0)
+	team := newTeam("team", 100, 100)
+	catalog := rosemarylb.Catalog{
+		Version: 1,
+	}.WithTeams([]rosemarylb.Team{team})
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		want  int
+	}{
+		{"before the end of the predecessor", 1290 * time.Millisecond, 0},
+		{"while standing rates may be in use", 2300 * time.Millisecond, 10},
+		{"after all standing rates", 4800 * time.Millisecond, 80},
+	} {
+		l := NewLedger(Tenure{
+			GrantsFrom: now.Add(1300 * time.Millisecond),
+			Members:    5,
+		}, catalog)
+		for at := time.Duration(0); at < c.after; at += 20 * time.Millisecond {
+			l = l.Advanced(now.Add(at))
+		}
+		_, g := askLedger(l, "i", 1, Demand{
+			Wanted: 200,
+		}, now.Add(c.after))
+		if g.Tokens != c.want {
+			t.Errorf("%s: got %d tokens, want %d", c.name, g.Tokens, c.want)
+		}
+	}
+}
+
+// TestStandingRatesShareTheLimit guards against standing rates that add up to more than
+// their part of the team's rate while the demand moves between instances.
+func TestStandingRatesShareTheLimit(t *testing.T) {
+	now := time.Unix(100, 0)
+	l := NewLedger(Tenure{
+		GrantsFrom: now,
+		First:      true,
+	}, rosemarylb.Catalog{
+		Version: 1,
+	}.WithTeams([]rosemarylb.Team{newTeam("team", 100, 100)}))
+	var first, second Grant
+	l, first = askLedger(l, "first", 1, Demand{
+		RateMillis: 50_000,
+	}, now)
+	l, second = askLedger(l, "second", 1, Demand{
+		RateMillis: 50_000,
+	}, now)
+	if first.StandingMillis != 90_000 || second.StandingMillis != 0 {
+		t.Errorf("got standing rates %d and %d, want 90000 and 0", first.StandingMillis, second.StandingMillis)
+	}
+	l, first = askLedger(l, "first", 2, Demand{
+		RateMillis:     50_000,
+		StandingMillis: first.StandingMillis,
+	}, now)
+	l, _ = askLedger(l, "first", 3, Demand{
+		RateMillis:     50_000,
+		StandingMillis: first.StandingMillis,
+	}, now)
+	_, second = askLedger(l, "second", 2, Demand{
+		RateMillis: 50_000,
+	}, now)
+	if first.StandingMillis != 45_000 || second.StandingMillis != 45_000 {
+		t.Errorf("got standing rates %d and %d, want 45000 each", first.StandingMillis, second.StandingMillis)
+	}
+}
+
+// TestPausedKeeperGrantsNoMoreThanTheRest guards against tokens for a time in which
+// the instances used their standing rates, because the keeper was paused.
+func TestPausedKeeperGrantsNoMoreThanTheRest(t *testing.T) {
+	now := time.Unix(100, 0)
+	l := NewLedger(Tenure{
+		GrantsFrom: now,
+		First:      true,
+	}, rosemarylb.Catalog{
+		Version: 1,
+	}.WithTeams([]rosemarylb.Team{newTeam("team", 100, 1000)}))
+	l, g := askLedger(l, "i", 1, Demand{
+		RateMillis: 50_000,
+	}, now)
+	l, g = askLedger(l, "i", 2, Demand{
+		Wanted:         1000,
+		RateMillis:     50_000,
+		StandingMillis: g.StandingMillis,
+	}, now.Add(2*time.Second))
+	if want := 20; g.Tokens != want {
+		t.Errorf("got %d tokens after a pause of 2 s, want %d", g.Tokens, want)
+	}
+}
