Enforce team quotas through tokens of the keeper

The keeper duty holds the ledger of its present lease and answers Reserve calls while its keeper may act. A duty on each instance sends the proxy's requests to the keeper that the permit requester found, and returns the replies. The proxy admits an operation before it schedules its first statement, lets it wait for a token, or answers BUSY with the time to come back. Relayed queries were admitted by the instance that relays them.

The keeper duty learns the catalog from the new event CatalogChanged.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -172,6 +172,7 @@
 	confirmedAt time.Time
 	// cleanTakeover is true if the previous holder had released the lease.
 	cleanTakeover bool
+	tenure        Tenure
 	// storeFailingSince is when the first of the unanswered writes was sent.
 	storeFailingSince time.Time
 	writePending      bool
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -104,6 +104,7 @@
 		if !k.cleanTakeover {
 			k.promoteNotBefore = now.Add(takeoverDelay)
 		}
+		k.tenure = k.newTenure(now)
 		k.groups = nil
 		k = k.withLogEvent(LogEvent{
 			Event:  "lease taken",
--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -6,6 +6,7 @@
 import (
 	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
+	"rosemarylb/internal/traffic/quota"
 )
 
 // Event is an input of the duty.
@@ -25,6 +26,21 @@
 	Endpoints []rosemarylb.EndpointSpec
 }
 
+// CatalogChanged carries a configuration.
+type CatalogChanged struct {
+	// Catalog is the configuration.
+	Catalog rosemarylb.Catalog
+}
+
+// ReserveRequested is an instance's request for tokens.
+type ReserveRequested struct {
+	// Request is the request.
+	Request quota.Request
+	// Reply receives the reply; it is buffered for one, as the duty does not block on
+	// it.
+	Reply chan<- quota.Reply
+}
+
 // PermitRequested is an instance's request for permits.
 type PermitRequested struct {
 	// Report is what the instance has observed.
@@ -116,6 +132,8 @@
 func (holderAnswered) keepingEvent()    {}
 func (RecordObserved) keepingEvent()    {}
 func (EndpointsChanged) keepingEvent()  {}
+func (CatalogChanged) keepingEvent()    {}
+func (ReserveRequested) keepingEvent()  {}
 func (PermitRequested) keepingEvent()   {}
 func (RetireRequested) keepingEvent()   {}
 func (LeaseReleased) keepingEvent()     {}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -44,6 +44,7 @@
 	witness         *Witness
 	endpoints       endpointList
 	storeAnsweredAt *duty.Latest[time.Time]
+	tokens          tokenGrants
 }
 
 // Option configures a Runner.
@@ -168,6 +169,12 @@
 	case PermitRequested:
 		r.handlePermitRequest(e, now)
 		return
+	case ReserveRequested:
+		r.handleReserve(e, now)
+		return
+	case CatalogChanged:
+		r.tokens = r.tokens.withCatalog(e.Catalog, now)
+		return
 	case RecordObserved:
 		r.handleRecordObserved(e.Object, now)
 	case EndpointsChanged:
@@ -266,6 +273,9 @@
 	}
 	r.applyStatuses(r.probes.expire(now, r.keeper.HoldsLease()))
 	r.executeDecision(now)
+	if r.keeper.HoldsLease() {
+		r.tokens = r.tokens.withTenure(r.keeper.Tenure(), r.log).advanced(now)
+	}
 }
 
 // Next implements duty.Handler.
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -62,6 +62,7 @@
 	keeperAddress       string
 	keeperToken         uint64
 	holderHint          leaseHolder
+	keeperFound         *duty.Latest[KeeperAddress]
 	conn                *grpc.ClientConn
 	consecutiveFailures int
 	lastReplyAt         time.Time
@@ -71,6 +72,15 @@
 	nextRequestAt       time.Time
 }
 
+// KeeperAddress is the address of the lease holder that an instance asks, empty while it
+// knows none, and the holder's token.
+type KeeperAddress struct {
+	// Address is a host:port.
+	Address string
+	// Token is the fencing token of the holder.
+	Token uint64
+}
+
 // leaseHolder is the address and the token of a lease holder that another
 // instance reported. An instance that cannot read the store finds a new holder
 // this way.
@@ -117,6 +127,13 @@
 	}
 }
 
+// WithKeeperAddress sets where the duty stores the lease holder that it asks.
+func WithKeeperAddress(found *duty.Latest[KeeperAddress]) PermitRequesterOption {
+	return func(pr *PermitRequester) {
+		pr.keeperFound = found
+	}
+}
+
 // NewPermitRequester returns a duty of an instance that is not yet started. It puts
 // permits, shares, peers and endpoints into the rings of the proxy and of the
 // keeper's duty, and reads the record in the store while the keeper is silent.
@@ -132,6 +149,7 @@
 		keeperRunner:    k,
 		storeAnsweredAt: duty.NewLatest(time.Time{}),
 		notification:    duty.NewLatest(keeper.Notification{}),
+		keeperFound:     duty.NewLatest(KeeperAddress{}),
 		proxyStatus:     p.Status(),
 		proxyRing:       p.Ring(),
 		nextRequestAt:   clock.Now(),
@@ -324,24 +342,20 @@
 		return nil, errNoKeeper
 	}
 	if !pr.keeperRunner.Witness().Accepts(token) {
+		pr.keeperFound.Store(KeeperAddress{})
 		return nil, errDeposed
 	}
 	pr.keeperToken = token
+	pr.keeperFound.Store(KeeperAddress{
+		Address: address,
+		Token:   token,
+	})
 	if address != pr.keeperAddress {
 		pr.closeConnection()
 		pr.keeperAddress = address
 	}
 	if pr.conn == nil {
-		conn, err := grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithConnectParams(grpc.ConnectParams{
-				Backoff: backoff.Config{
-					BaseDelay:  maxDialBackoff / 4,
-					Multiplier: 2,
-					MaxDelay:   maxDialBackoff,
-				},
-				MinConnectTimeout: requestTimeout,
-			}))
+		conn, err := dialKeeper(address)
 		if err != nil {
 			return nil, errors.Wrap(err, "keeper")
 		}
@@ -357,3 +371,18 @@
 	}
 	pr.consecutiveFailures = 0
 }
+
+// dialKeeper returns a connection to a lease holder, which is established with the
+// first call.
+func dialKeeper(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  maxDialBackoff / 4,
+				Multiplier: 2,
+				MaxDelay:   maxDialBackoff,
+			},
+			MinConnectTimeout: requestTimeout,
+		}))
+}
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -125,7 +125,7 @@
 
 func (i *Instance) start(id Identity, p Peers) error {
 	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithLocation(id.Region, id.Domain),
-		proxy.WithRelays(p.Relays, id.RelayAddress))
+		proxy.WithRelays(p.Relays, id.RelayAddress), proxy.WithQuotas(id.Instance, uint64(time.Now().UnixMicro())))
 	i.keeperRunner = keeperduty.NewRunner(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
@@ -143,6 +143,9 @@
 		i.proxy.Ring().Put(proxy.CatalogChanged{
 			Catalog: c,
 		})
+		i.keeperRunner.Ring().Put(keeperduty.CatalogChanged{
+			Catalog: c,
+		})
 	}))
 	i.addDuty(registry.StartEndpointWatcher(i.clock, p.Directory, i.log, storeAnsweredAt, notification,
 		func(endpoints []rosemarylb.EndpointSpec) {
@@ -153,6 +156,7 @@
 				Endpoints: endpoints,
 			})
 		}))
+	keeperAddress := duty.NewLatest(instance.KeeperAddress{})
 	relayPeer := rosemarylb.RelayPeer{
 		Address: id.RelayAddress,
 		Region:  id.Region,
@@ -161,7 +165,9 @@
 		instance.WithPermitLogger(i.log),
 		instance.WithPermitAddresses(id.InstanceAddress, relayPeer),
 		instance.WithCapacity(id.Capacity),
-		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
+		instance.WithStoreReports(storeAnsweredAt, notification),
+		instance.WithKeeperAddress(keeperAddress)).Start())
+	i.addDuty(instance.NewQuotaRequester(i.clock, i.proxy, keeperAddress).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
 		return err
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "rosemarylb"
+import (
+	"rosemarylb"
+	"rosemarylb/internal/traffic/quota"
+)
 
 // Event is an input of the proxy.
 type Event interface {
@@ -88,6 +91,17 @@
 	Share rosemarylb.ConnectionShare
 }
 
+// KeeperChanged reports that another instance has become the keeper.
+type KeeperChanged struct{}
+
+// QuotaReplied carries the keeper's reply to a request for tokens.
+type QuotaReplied struct {
+	// Sequence is the sequence of the request.
+	Sequence uint64
+	// Reply is the reply, the zero value if there was none.
+	Reply quota.Reply
+}
+
 func (SessionOpened) proxyEvent()    {}
 func (PeersChanged) proxyEvent()     {}
 func (QueryReceived) proxyEvent()    {}
@@ -99,3 +113,5 @@
 func (CatalogChanged) proxyEvent()   {}
 func (PermitsReceived) proxyEvent()  {}
 func (ShareChanged) proxyEvent()     {}
+func (KeeperChanged) proxyEvent()    {}
+func (QuotaReplied) proxyEvent()     {}
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -62,6 +62,7 @@
 	nextTick        time.Time
 	inFlight        int
 	drain           DrainStarted
+	quotas          quotas
 }
 
 // Status is the state that the proxy publishes to other duties.
@@ -109,6 +110,7 @@
 		connections: map[rosemarylb.ConnectionID]*connection{},
 		sessions:    map[rosemarylb.SessionID]*session{},
 		nextTick:    time.Unix(1, 0),
+		quotas:      newQuotas(),
 	}
 	for _, o := range options {
 		o(p)
@@ -156,6 +158,10 @@
 		p.applyPeers(e.Peers)
 	case ShareChanged:
 		p.share = e.Share
+	case KeeperChanged:
+		p.quotas.allowance = p.quotas.allowance.WithKeeperChanged()
+	case QuotaReplied:
+		p.applyQuotaReply(e, now)
 	case DrainStarted:
 		p.drain = e
 		p.log.Info("drain", "sessions", len(p.sessions))
@@ -179,6 +185,7 @@
 	}
 	p.expireConnections(now)
 	p.rejectWaitingSessions(now)
+	p.decideWaiting(now)
 	p.closeRevoked(now)
 	if !p.drain.CloseAt.IsZero() {
 		p.closeSessions(now)
@@ -238,6 +245,7 @@
 		return
 	}
 	p.catalog = e.Catalog
+	p.quotas.allowance = p.quotas.allowance.WithCatalog(e.Catalog)
 	waiting := p.waitingSessions
 	p.waitingSessions = nil
 	for _, w := range waiting {
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -157,7 +157,7 @@
 	if p.nextTick.After(now.Add(busyTickInterval)) {
 		p.nextTick = now.Add(busyTickInterval)
 	}
-	p.schedule(pq, now)
+	p.admit(pq, now)
 }
 
 // route returns the route of a query, false if its database has none.
