--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -4,12 +4,25 @@
 	"testing"
 	"time"
 
+	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/message/link"
+	"rosemarylb/internal/traffic/quota"
 
 	"google.golang.org/protobuf/proto"
 )
 
+// fuzzCatalog returns a configuration in which the team "team" has a quota.
+func fuzzCatalog() rosemarylb.Catalog {
+	return rosemarylb.Catalog{
+		Version: 1,
+	}.WithTeams([]rosemarylb.Team{{
+		Name:          "team",
+		RatePerSecond: 1e300,
+		Burst:         1e300,
+	}})
+}
+
 // A message of another instance, whatever it holds, does not end the keeper's or
 // the asking process.
 func FuzzPermitMessages(f *testing.F) {
@@ -36,6 +49,32 @@
 	if err != nil {
 		f.Fatal(err)
 	}
+	for _, m := range []proto.Message{
+		&link.ReserveRequest{
+			Demands: []*link.TeamDemand{{
+				Team:           "team",
+				Wanted:         1 << 31,
+				Waiting:        1 << 31,
+				RateMillis:     1 << 63,
+				StandingMillis: 1 << 63,
+			}},
+		},
+		&link.ReserveReply{
+			Keeper: true,
+			Grants: []*link.TeamGrant{{
+				Tokens:         1 << 31,
+				Held:           1 << 31,
+				StandingMillis: 1 << 63,
+				RetryMillis:    1 << 31,
+			}},
+		},
+	} {
+		seed, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(seed)
+	}
 	f.Add(request)
 	f.Add(reply)
 	now := time.Unix(1000, 0)
@@ -45,6 +84,16 @@
 			k := keeper.NewKeeper("i0", 1, "a0").WithReport(decodeReport(&asked, now), now)
 			k.Decide(now)
 		}
+		var reserved link.ReserveRequest
+		if proto.Unmarshal(message, &reserved) == nil {
+			quota.NewLedger(quota.Tenure{}, fuzzCatalog()).WithRequest(decodeReserveRequest(&reserved), now)
+		}
+		var granted link.ReserveReply
+		if proto.Unmarshal(message, &granted) == nil {
+			a, _ := quota.NewAllowance("i1", 1).WithCatalog(fuzzCatalog()).WithOperation("team", now)
+			a, request, _ := a.WithRequest(now)
+			a.WithReply(request.Sequence, decodeReserveReply(&granted), now).WithWaiting("team", now)
+		}
 		var answered link.PermitReply
 		if proto.Unmarshal(message, &answered) == nil {
 			decodeGrants(&answered)
--- a/internal/traffic/quota/balance.go
+++ b/internal/traffic/quota/balance.go
@@ -121,7 +121,7 @@
 	b.asked = 0
 	b.retryAt = time.Time{}
 	if b.refusals > 0 && g.Held == 0 {
-		b.retryAt = sentAt.Add(time.Duration(g.RetryMillis) * time.Millisecond)
+		b.retryAt = sentAt.Add(time.Duration(min(g.RetryMillis, window.Milliseconds())) * time.Millisecond)
 	}
 	b.standingMillis = g.StandingMillis
 	b.standingTokens = 0
--- a/internal/traffic/quota/bucket.go
+++ b/internal/traffic/quota/bucket.go
@@ -62,7 +62,7 @@
 
 // withLimits sets the limits of a settled bucket. A lower burst takes tokens away.
 func (b bucket) withLimits(t rosemarylb.Team, now time.Time) bucket {
-	if b.rate == t.RatePerSecond && b.burst == burstOf(t) {
+	if b.rate == rateOf(t) && b.burst == burstOf(t) {
 		return b
 	}
 	if now.Before(b.formerUntil) {
@@ -72,17 +72,22 @@
 		b.formerRate, b.formerBurst = b.rate, b.burst
 	}
 	b.formerUntil = now.Add(window + sliceDuration)
-	b.rate = t.RatePerSecond
+	b.rate = rateOf(t)
 	b.burst = burstOf(t)
 	b.tokens = min(b.tokens, b.burst)
 	return b
 }
 
+// rateOf returns a team's rate in operations a second.
+func rateOf(t rosemarylb.Team) float64 {
+	return min(t.RatePerSecond, maxLimit)
+}
+
 // burstOf returns the size of a team's bucket. It holds at least one token, as the team
 // could run nothing otherwise, and the tokens of minBurstPeriod, as a smaller bucket
 // would overflow between two requests.
 func burstOf(t rosemarylb.Team) float64 {
-	return max(t.Burst, t.RatePerSecond*minBurstPeriod.Seconds(), 1)
+	return min(max(t.Burst, rateOf(t)*minBurstPeriod.Seconds(), 1), maxLimit)
 }
 
 // withGrant takes up to n tokens out of a settled bucket.
--- a/internal/traffic/quota/ledger.go
+++ b/internal/traffic/quota/ledger.go
@@ -119,7 +119,7 @@
 	if !found {
 		b = bucket{
 			team:      t.Name,
-			rate:      t.RatePerSecond,
+			rate:      rateOf(t),
 			burst:     burstOf(t),
 			settledAt: l.grantsFrom,
 		}
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -48,6 +48,8 @@
 	minBurstPeriod = 100 * time.Millisecond
 	// MaxWait is how long an operation waits for a token.
 	MaxWait = 2500 * time.Millisecond
+	// maxLimit is the highest rate and burst. Sums of higher ones would overflow.
+	maxLimit = 1e8
 	// window is the length of the window for which a quota is stated.
 	window = 5 * time.Second
 )
