--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -8,6 +8,7 @@
 
 	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
+	"rosemarylb/internal/traffic/quota"
 )
 
 // Event is an input of the duty.
@@ -33,6 +34,15 @@
 	Catalog rosemarylb.Catalog
 }
 
+// ReserveRequested is an instance's request for tokens.
+type ReserveRequested struct {
+	// Request is the request.
+	Request quota.Request
+	// Reply receives the reply; it is buffered for one, as the duty does not block on
+	// it.
+	Reply chan<- quota.Reply
+}
+
 // PermitRequested is an instance's request for permits.
 type PermitRequested struct {
 	// Report is what the instance has observed.
@@ -141,6 +151,7 @@
 func (RecordObserved) keepingEvent()    {}
 func (EndpointsChanged) keepingEvent()  {}
 func (CatalogChanged) keepingEvent()    {}
+func (ReserveRequested) keepingEvent()  {}
 func (PermitRequested) keepingEvent()   {}
 func (RetireRequested) keepingEvent()   {}
 func (LeaseReleased) keepingEvent()     {}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -46,6 +46,7 @@
 	catalog         rosemarylb.Catalog
 	grantLists      grantLists
 	storeAnsweredAt *duty.Latest[time.Time]
+	tokens          tokenGrants
 }
 
 // Option configures a Runner.
@@ -170,6 +171,9 @@
 	case PermitRequested:
 		r.handlePermitRequest(e, now)
 		return
+	case ReserveRequested:
+		r.handleReserve(e, now)
+		return
 	case RecordObserved:
 		r.handleRecordObserved(e.Object, now)
 	case EndpointsChanged:
@@ -177,6 +181,7 @@
 		r.endpoints = newEndpointList(e.Endpoints)
 	case CatalogChanged:
 		r.catalog = e.Catalog
+		r.tokens = r.tokens.withCatalog(e.Catalog, now)
 		return
 	case holderAnswered:
 		r.keeper = r.keeper.WithLeaseNotification(now)
@@ -279,6 +284,9 @@
 	}
 	r.applyStatuses(r.probes.expire(now, r.keeper.HoldsLease()))
 	r.executeDecision(now)
+	if r.keeper.HoldsLease() {
+		r.tokens = r.tokens.withTenure(r.keeper.Tenure(), r.log).advanced(now)
+	}
 }
 
 // Next implements duty.Handler.
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -132,7 +132,7 @@
 
 func (i *Instance) start(id Identity, p Peers) error {
 	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithLocation(id.Region, id.Domain),
-		proxy.WithRelays(p.Relays, id.RelayAddress))
+		proxy.WithRelays(p.Relays, id.RelayAddress), proxy.WithQuotas(id.Instance, uint64(time.Now().UnixMicro())))
 	i.keeperRunner = keeperduty.NewRunner(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
@@ -164,6 +164,7 @@
 				Endpoints: endpoints,
 			})
 		}))
+	keeperAddress := duty.NewLatest(instance.KeeperAddress{})
 	relayPeer := rosemarylb.RelayPeer{
 		Address: id.RelayAddress,
 		Domain:  id.Domain,
@@ -176,7 +177,9 @@
 		instance.WithSeeds(id.Seeds),
 		instance.WithMeter(p.Meter),
 		instance.WithCatalogExchange(i.catalogs.Latest(), i.offerCatalog("keeper")),
-		instance.WithStoreReports(storeAnsweredAt, notification)).Start())
+		instance.WithStoreReports(storeAnsweredAt, notification),
+		instance.WithKeeperAddress(keeperAddress)).Start())
+	i.addDuty(instance.NewQuotaRequester(i.clock, i.proxy, keeperAddress).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
 		return err
