Keep the keeper safe when the store is restored from an older copy

Cause: a restored store shows an older record, issues revisions again and lets late writes of the time before take effect. The model's store gains restores.

Change: versions are era and revision. A token holds the era in its high bits and is above the revision that its record replaces. A record of an earlier era gives no permits, and only its expiry makes the lease available. A holder that may act writes the record again once its witnesses have reported after the lease became void. Any other holder probes all endpoints of a group before it permits the use of a primary from an old record.

--- a/behaviour.go
+++ b/behaviour.go
@@ -180,9 +180,9 @@
 type Object struct {
 	// Name is the key of the object.
 	Name string
-	// Version changes with each write. It is 0 for an object that does not
+	// Version increases with each write. Its revision is 0 for an object that does not
 	// exist.
-	Version uint64
+	Version Version
 	// Value is the content, at most 1 MB.
 	Value []byte
 }
@@ -190,14 +190,15 @@
 // Store is the platform's object store. A call that returns an error may have
 // taken effect.
 type Store interface {
-	// Get returns an object. Its version is 0 if it does not exist.
+	// Get returns an object. Its revision is 0 if it does not exist.
 	Get(ctx context.Context, name string) (Object, error)
-	// Put is a compare-and-swap: it writes the object if the stored version
-	// equals o.Version.
+	// Put is a compare-and-swap: it writes the object if the stored revision equals
+	// that of o.Version. The era is not part of the condition, so that a write may take
+	// effect in a later era in which the store has issued the revision again.
 	Put(ctx context.Context, o Object) (PutOutcome, error)
 	// Watch blocks until the object has a later version than the given one, or
 	// until the context ends, and returns the current object.
-	Watch(ctx context.Context, name string, version uint64) (Object, error)
+	Watch(ctx context.Context, name string, version Version) (Object, error)
 	// Instances returns the platform's list of instances, which may be stale.
 	Instances(ctx context.Context) ([]Member, error)
 }
@@ -279,33 +280,38 @@
 type Directory interface {
 	// ListEndpoints returns all registered endpoints.
 	ListEndpoints(ctx context.Context) (EndpointListing, error)
-	// WatchEndpoints blocks until an endpoint changes after the listing's revision,
+	// WatchEndpoints blocks until an endpoint changes after the listing's version,
 	// or until the context ends, and returns the updated listing. It returns
-	// ErrCompacted if the changes since that revision have been compacted.
+	// ErrCompacted if the changes since that version have been compacted or belong to an
+	// earlier era.
 	WatchEndpoints(ctx context.Context, since EndpointListing) (EndpointListing, error)
-	// Catalog returns the current configuration and its revision.
-	Catalog(ctx context.Context) (Catalog, uint64, error)
-	// WatchCatalog blocks until the configuration changes after a revision. If
-	// the context ends first, it returns the same revision.
-	WatchCatalog(ctx context.Context, revision uint64) (Catalog, uint64, error)
+	// Catalog returns the current configuration and the directory's version, in which
+	// the configuration need not be the one that was written last: a restored store
+	// returns an older one.
+	Catalog(ctx context.Context) (Catalog, Version, error)
+	// WatchCatalog blocks until the configuration changes after a version. If
+	// the context ends first, it returns the same version. It returns ErrCompacted as
+	// WatchEndpoints does.
+	WatchCatalog(ctx context.Context, since Version) (Catalog, Version, error)
 }
 
 // ErrCompacted is returned by Directory.WatchEndpoints when the changes since a
-// revision have been compacted. The caller has to list the endpoints again.
+// version have been compacted or belong to an earlier era. The caller has to list the
+// endpoints again.
 var ErrCompacted = errors.New("the changes since then are no longer known")
 
-// EndpointListing is the set of registered endpoints at a revision. It is immutable.
+// EndpointListing is the set of registered endpoints at a version. It is immutable.
 type EndpointListing struct {
-	// Revision is the revision of the directory that was listed.
-	Revision uint64
+	// Version is the version of the directory that was listed.
+	Version Version
 	// Endpoints maps the name of each endpoint to its description.
 	Endpoints map[EndpointID]EndpointSpec
 }
 
-// WithChanges returns the listing at a later revision, with endpoints added or
+// WithChanges returns the listing at another version, with endpoints added or
 // replaced by changed and deleted by removed.
-func (l EndpointListing) WithChanges(revision uint64, changed []EndpointSpec, removed []EndpointID) EndpointListing {
-	l.Revision = revision
+func (l EndpointListing) WithChanges(version Version, changed []EndpointSpec, removed []EndpointID) EndpointListing {
+	l.Version = version
 	if len(changed) == 0 && len(removed) == 0 {
 		return l
 	}
--- a/internal/failover/keeper/bench_test.go
+++ b/internal/failover/keeper/bench_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	var endpoints []rosemarylb.EndpointSpec
 	var observations []Observation
-	r := Record{}.WithHolder("i0", 1, "a0")
+	r := Record{}.WithHolder("i0", 1, "a0", rosemarylb.Version{})
 	for g := range 20 {
 		group := rosemarylb.DatabaseName("g" + strconv.Itoa(g))
 		for e := range 3 {
@@ -37,7 +37,9 @@
 	k := NewKeeper("i0", 1, "a0").WithEndpoints(endpoints)
 	k.record = r
 	k.recordKnown = true
-	k.revision = 1
+	k.version = rosemarylb.Version{
+		Revision: 1,
+	}
 	k.token = r.Token
 	k.holdsLease = true
 	k.leaseUntil = now.Add(time.Hour)
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -36,6 +36,7 @@
 	reasonSilent    = "silent"
 	reasonDemoted   = "demoted"
 	reasonInherited = "left by the former keeper"
+	reasonRestored  = "record of an earlier era"
 )
 
 // failover is a change of a group's primary that has not completed.
@@ -82,6 +83,8 @@
 	switch {
 	case g.failingOver():
 		return k.decideFailover(name, d, now)
+	case k.staleTakeover && (l.FailingOver || l.Primary == ""):
+		return k.startFailover(name, l, reasonRestored, now), d
 	case l.FailingOver:
 		return k.startFailover(name, l, reasonInherited, now), d
 	case l.Primary == "":
@@ -172,6 +175,9 @@
 		g, d = g.probe(d, e, fastProbeInterval, now)
 	}
 	k = k.withGroup(name, g)
+	if g.failover.reason == reasonRestored {
+		return k.resolveRestored(name, now), d
+	}
 	permitsExpired := !g.failover.recordedAt.IsZero() && !now.Before(g.failover.recordedAt.Add(PermitDuration))
 	if id, term, found := g.successor(); found {
 		if !permitsExpired || !g.failover.promotionsSettled(id, now) {
--- a/internal/failover/keeper/failover_test.go
+++ b/internal/failover/keeper/failover_test.go
@@ -36,7 +36,7 @@
 		var d Decision
 		k, d = k.Decide(now)
 		if d.Write != nil {
-			k = k.WithWriteConfirmed(k.revision+1, now)
+			k = k.WithWriteConfirmed(version(k.version.Revision+1), now)
 		}
 		for _, p := range d.Promotions {
 			sentAt = append(sentAt, now)
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -93,8 +93,8 @@
 type Write struct {
 	// Record is the new record.
 	Record Record
-	// Revision is the version that it replaces, 0 to create the record.
-	Revision uint64
+	// Replaces is the version that it replaces, of revision 0 to create the record.
+	Replaces rosemarylb.Version
 }
 
 // EndpointQuery is a query to send to an endpoint.
@@ -143,8 +143,10 @@
 	process uint64
 	address string
 
-	record   Record
-	revision uint64
+	// record is the record as last read, or as last confirmed while this instance holds
+	// the lease; version is that of the stored record.
+	record  Record
+	version rosemarylb.Version
 	// recordSeenAt is when the record last changed, or the holder last notified
 	// this instance that its lease is valid.
 	recordSeenAt time.Time
@@ -181,6 +183,15 @@
 	// recordUncertain is true while an unanswered write may change the record.
 	recordUncertain bool
 	readNotBefore   time.Time
+	// reclaimSince is since when this holder knows that the store no longer has its
+	// lease, zero while the store has it.
+	reclaimSince time.Time
+	// eraChanged is true once this process has seen the store in two eras.
+	eraChanged bool
+	// staleTakeover is true if the lease was taken from a record of an earlier era.
+	staleTakeover bool
+	// remembered are the primaries that this process knew of when an era ended.
+	remembered map[rosemarylb.DatabaseName]Leadership
 	// availableSince is since when the lease may be taken, zero while it may not.
 	availableSince time.Time
 
@@ -285,7 +296,7 @@
 	}
 	k = k.withFleetSummary(now)
 	k = k.withWitnessCheck(now)
-	if k.mayAct(now) && !k.shuttingDown {
+	if k.mayAct(now) && !k.shuttingDown && k.reclaimSince.IsZero() {
 		for name := range k.endpoints {
 			k, d = k.decideGroup(name, d, now)
 		}
@@ -306,7 +317,9 @@
 	if !k.holdsLease {
 		return k
 	}
+	k = k.withGroupsRemembered()
 	k.holdsLease = false
+	k.reclaimSince = time.Time{}
 	k.groups = nil
 	return k.withLogEvent(LogEvent{
 		Event:  "lease lost",
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -8,21 +8,30 @@
 )
 
 // WithRecord applies the record that the store returned. Revision 0 stands for
-// no record.
-func (k Keeper) WithRecord(r Record, revision uint64, now time.Time) Keeper {
+// no record. A record that was read in an earlier era is ignored.
+func (k Keeper) WithRecord(r Record, version rosemarylb.Version, now time.Time) Keeper {
+	k = k.withEra(version.Era, now)
+	if version.Era < k.version.Era {
+		return k
+	}
+	if k.holdsLease && k.isStale(r, version) {
+		return k.withStaleRecord(version, now)
+	}
 	k.recordUncertain = false
-	if k.recordKnown && revision <= k.revision {
+	if k.recordKnown && !k.version.Less(version) {
 		return k
 	}
 	k.recordKnown = true
 	k.record = r
-	k.revision = revision
+	k.version = version
 	k.recordSeenAt = now
 	isHolder := r.Holder == k.self && r.Process == k.process
 	if isHolder {
 		k.storeFailingSince = time.Time{}
 	}
 	switch {
+	case k.isStale(r, version):
+		return k
 	case isHolder && r.Sequence == k.lastWrite.Record.Sequence:
 		return k.withLeaseConfirmed(now)
 	case !isHolder:
@@ -32,16 +41,20 @@
 	}
 }
 
-// WithWriteConfirmed applies the answer that the pending write took effect.
-func (k Keeper) WithWriteConfirmed(revision uint64, now time.Time) Keeper {
+// WithWriteConfirmed applies the answer that the pending write took effect. A write of
+// an earlier era confirms nothing, also if it took effect in the present one.
+func (k Keeper) WithWriteConfirmed(version rosemarylb.Version, now time.Time) Keeper {
 	k.writePending = false
 	k.storeFailingSince = time.Time{}
-	if revision <= k.revision {
+	if k.version.Era < version.Era || k.isStale(k.lastWrite.Record, version) {
+		return k.WithRecord(k.lastWrite.Record, version, now)
+	}
+	if !k.version.Less(version) {
 		return k
 	}
 	k.recordKnown = true
 	k.record = k.lastWrite.Record
-	k.revision = revision
+	k.version = version
 	k.recordSeenAt = now
 	if k.record.Holder == "" {
 		return k.withLogEvent(LogEvent{
@@ -53,11 +66,11 @@
 }
 
 // WithWriteConflict applies the answer that the pending write failed because the store
-// holds another revision, which is passed with its record.
-func (k Keeper) WithWriteConflict(r Record, revision uint64, now time.Time) Keeper {
+// holds another version, which is passed with its record.
+func (k Keeper) WithWriteConflict(r Record, version rosemarylb.Version, now time.Time) Keeper {
 	k.writePending = false
 	k.storeFailingSince = time.Time{}
-	return k.WithRecord(r, revision, now)
+	return k.WithRecord(r, version, now)
 }
 
 // WithWriteUnanswered records that the pending write was not answered, so that it may
@@ -91,6 +104,7 @@
 		k.token = k.record.Token
 		k.witnessesLostAt = time.Time{}
 	}
+	k = k.withLeaseReclaimed(now)
 	k.confirmedAt = k.lastWriteAt
 	until := k.lastWriteAt.Add(leaseDuration - leaseMargin)
 	if until.After(k.leaseUntil) || !k.holdsLease {
@@ -139,7 +153,7 @@
 	k.writePending = true
 	k.lastWrite = Write{
 		Record:   next.WithNextSequence(),
-		Revision: k.revision,
+		Replaces: k.version,
 	}
 	k.lastWriteAt = now
 	write := k.lastWrite
@@ -149,13 +163,17 @@
 
 // nextRecord returns the record to write, or false when no write is due.
 func (k Keeper) nextRecord(now time.Time) (Keeper, Record, bool) {
+	if !k.reclaimSince.IsZero() {
+		return k, k.reclaimedRecord(), k.mayReclaim(now)
+	}
 	if k.shuttingDown {
 		return k.nextRelease()
 	}
 	if !k.holdsLease {
-		k.cleanTakeover = k.leaseReleased()
+		k.staleTakeover = k.isStale(k.record, k.version)
+		k.cleanTakeover = k.leaseReleased() && !k.staleTakeover
 		k = k.withAvailability(now)
-		return k, k.record.WithHolder(k.self, k.process, k.address), k.mayTakeLease(now)
+		return k, k.takenRecord(), k.mayTakeLease(now)
 	}
 	next := k.record
 	if now.After(k.membersSince.Add(memberTimeout)) {
@@ -163,7 +181,7 @@
 	}
 	changed := next.Members != k.record.Members || !maps.Equal(next.Witnesses, k.record.Witnesses)
 	if k.needsNewToken(now) {
-		next = next.WithHolder(k.self, k.process, k.address)
+		next = next.WithHolder(k.self, k.process, k.address, k.version)
 		changed = true
 	}
 	for name, g := range k.groups {
@@ -198,12 +216,15 @@
 
 // leaseAvailable reports whether this instance may take the lease: it was never
 // held or was released, its holder was an earlier process of this instance or was
-// deposed, or it has expired.
+// deposed, or it has expired. A record of an earlier era does not show who held the
+// lease last, so that only the expiry counts: any lease was confirmed before the era.
 func (k Keeper) leaseAvailable(now time.Time) bool {
 	if k.shuttingDown {
 		return false
 	}
 	switch {
+	case k.isStale(k.record, k.version):
+		return !now.Before(k.recordSeenAt.Add(leaseDuration))
 	case k.leaseReleased(), k.record.Holder == k.self, k.deposedToken != 0 && k.deposedToken == k.record.Token:
 		return true
 	default:
@@ -261,7 +282,7 @@
 // store leaves its writes unanswered but answers another instance. It keeps the
 // lease while a promotion is pending.
 func (k Keeper) shouldYield(now time.Time) bool {
-	if !k.holdsLease || k.storeFailingSince.IsZero() || now.Sub(k.storeFailingSince) < storeFailureTimeout ||
+	if !k.holdsLease || !k.reclaimSince.IsZero() || k.storeFailingSince.IsZero() || now.Sub(k.storeFailingSince) < storeFailureTimeout ||
 		k.promotionPending() {
 		return false
 	}
--- a/internal/failover/keeper/peers.go
+++ b/internal/failover/keeper/peers.go
@@ -12,8 +12,8 @@
 	// instance whose list is older is sent the whole list.
 	maxPeerChanges = 40
 	// peerVersionBits is the number of bits in the version of a list of peers that
-	// count its changes. The bits above hold the token of the lease, so that no two
-	// holders use the same version.
+	// count its changes. The bits above are a hash of the token of the lease, so that
+	// no two holders use the same version.
 	peerVersionBits = 32
 )
 
@@ -46,9 +46,10 @@
 // withPeers returns the list with the given instances, in a version of the holder
 // with the given token. It is the same list if nothing has changed.
 func (l PeerList) withPeers(peers []rosemarylb.RelayPeer, token uint64) PeerList {
-	if l.version == 0 || l.version>>peerVersionBits != token {
+	prefix := peerVersionPrefix(token)
+	if l.version == 0 || l.version>>peerVersionBits != prefix {
 		l = PeerList{
-			version: token << peerVersionBits,
+			version: prefix << peerVersionBits,
 		}
 	}
 	var change peerChange
@@ -76,6 +77,13 @@
 	return l
 }
 
+// peerVersionPrefix returns the bits above the changes in the versions of the holder of
+// a token. It is the token itself for those of era 0.
+func peerVersionPrefix(token uint64) uint64 {
+	const eraFactor = 0x9E3779B1
+	return (token ^ token>>tokenEraShift*eraFactor) & (1<<peerVersionBits - 1)
+}
+
 // Version returns the version of the list.
 func (l PeerList) Version() uint64 {
 	return l.version
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -93,12 +93,22 @@
 	return r
 }
 
-// WithHolder sets the process that holds the lease and increments the token.
-func (r Record) WithHolder(id rosemarylb.InstanceID, process uint64, address string) Record {
+// WithHolder sets the process that holds the lease, with a token that is above that of
+// the record and above all tokens issued before in the era. replaced is the version of
+// the stored record that the new one replaces.
+func (r Record) WithHolder(
+	id rosemarylb.InstanceID, process uint64, address string, replaced rosemarylb.Version,
+) Record {
 	r.Holder = id
 	r.Process = process
 	r.Address = address
-	r.Token++
+	r.Token = nextToken(r.Token, replaced)
+	return r
+}
+
+// WithGroups sets the primaries of all groups.
+func (r Record) WithGroups(groups map[rosemarylb.DatabaseName]Leadership) Record {
+	r.Groups = groups
 	return r
 }
 
--- a/internal/failover/keeper/release_test.go
+++ b/internal/failover/keeper/release_test.go
@@ -11,12 +11,12 @@
 // reports of i0 to i3 and may grant permits for the primary e1 of the group g.
 func newHolder(now time.Time) Keeper {
 	k := newReportedKeeper(now, make([]Observation, 4))
-	k.record = Record{}.WithHolder("i0", 1, "").WithLeadership("g", Leadership{
+	k.record = Record{}.WithHolder("i0", 1, "", rosemarylb.Version{}).WithLeadership("g", Leadership{
 		Primary: "e1",
 		Term:    1,
 	})
 	k.recordKnown = true
-	k.revision = 1
+	k.version = version(1)
 	k.token = k.record.Token
 	k.leaseUntil = now.Add(time.Hour)
 	k.renewAt = now.Add(time.Hour)
@@ -42,9 +42,9 @@
 	}{
 		{"sent", sent, 1},
 		{"not answered", unanswered, 1},
-		{"has not taken effect", unanswered.WithRecord(current, 1, now), 1},
-		{"confirmed", sent.WithWriteConfirmed(2, now), 0},
-		{"taken by another", sent.WithWriteConflict(current.WithHolder("i1", 2, ""), 2, now), 0},
+		{"has not taken effect", unanswered.WithRecord(current, version(1), now), 1},
+		{"confirmed", sent.WithWriteConfirmed(version(2), now), 0},
+		{"taken by another", sent.WithWriteConflict(current.WithHolder("i1", 2, "", rosemarylb.Version{}), version(2), now), 0},
 	}
 	for _, test := range tests {
 		if grants, holds := test.keeper.Grants(now); holds || len(grants) > 0 {
@@ -66,7 +66,7 @@
 	if !d.Read {
 		t.Fatal("got no read of the record after a write that was not answered")
 	}
-	k = k.WithRecord(k.record, k.revision, now)
+	k = k.WithRecord(k.record, k.version, now)
 	if _, d = k.Decide(now); d.Write == nil || d.Write.Record.Holder != "" {
 		t.Errorf("got write %+v after the record still named the holder, want its release", d.Write)
 	}
--- a/internal/failover/keeper/succession_test.go
+++ b/internal/failover/keeper/succession_test.go
@@ -36,7 +36,7 @@
 }
 
 func TestWitnessesTakeAnAvailableLeaseFirst(t *testing.T) {
-	deposed := Record{}.WithHolder("old", 1, "").WithWitnesses(map[rosemarylb.InstanceID]string{
+	deposed := Record{}.WithHolder("old", 1, "", rosemarylb.Version{}).WithWitnesses(map[rosemarylb.InstanceID]string{
 		"old":     "",
 		"witness": "",
 	})
@@ -55,7 +55,7 @@
 	for _, test := range tests {
 		start := time.Unix(1000, 0)
 		k := NewKeeper(test.self, 2, "")
-		k = k.WithRecord(test.record, 1, start).WithHolderDeposed(test.record.Token)
+		k = k.WithRecord(test.record, version(1), start).WithHolderDeposed(test.record.Token)
 		took := time.Duration(-1)
 		for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(50 * time.Millisecond) {
 			var d Decision
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -76,23 +76,25 @@
 // write that may change the witnesses is pending or uncertain, both the old and the
 // new list need a quorum.
 func (k Keeper) hasWitnesses(now time.Time) bool {
-	if !k.hasWitnessQuorum(k.record.Witnesses, now) {
+	since := now.Add(-witnessTimeout)
+	if !k.hasWitnessQuorum(k.record.Witnesses, since) {
 		return false
 	}
 	if !k.writePending && !k.recordUncertain {
 		return true
 	}
-	return k.hasWitnessQuorum(k.lastWrite.Record.Witnesses, now)
+	return k.hasWitnessQuorum(k.lastWrite.Record.Witnesses, since)
 }
 
-func (k Keeper) hasWitnessQuorum(witnesses map[rosemarylb.InstanceID]string, now time.Time) bool {
+// hasWitnessQuorum reports whether enough of the witnesses have reported after a time.
+func (k Keeper) hasWitnessQuorum(witnesses map[rosemarylb.InstanceID]string, since time.Time) bool {
 	others, reporting := 0, 0
 	for id := range witnesses {
 		if id == k.self {
 			continue
 		}
 		others++
-		if m, known := k.members.get(id); known && now.Sub(m.reportedAt) < witnessTimeout {
+		if m, known := k.members.get(id); known && m.reportedAt.After(since) {
 			reporting++
 		}
 	}
--- a/internal/failover/keeperduty/clients.go
+++ b/internal/failover/keeperduty/clients.go
@@ -58,7 +58,7 @@
 	}
 	outcome, err := c.store.Put(ctx, rosemarylb.Object{
 		Name:    RecordName,
-		Version: request.write.Revision,
+		Version: request.write.Replaces,
 		Value:   request.write.Record.Encode(),
 	})
 	c.ring.Put(writeFinished{
@@ -107,7 +107,7 @@
 	witness         *Witness
 	storeAnsweredAt *duty.Latest[time.Time]
 	notification    *duty.Latest[keeper.Notification]
-	version         uint64
+	version         rosemarylb.Version
 	nextAt          time.Time
 }
 
@@ -131,15 +131,15 @@
 	}
 	w.nextAt = now
 	w.storeAnsweredAt.Store(w.clock.Now())
-	if object.Version == 0 {
+	if !object.Version.Exists() {
 		w.nextAt = now.Add(watchRetryDelay)
 	}
-	if object.Version == w.version && object.Version != 0 {
+	if object.Version == w.version && object.Version.Exists() {
 		return
 	}
 	w.version = object.Version
-	if record, err := keeper.ParseRecord(object.Value); err == nil && object.Version != 0 {
-		w.record.Store(record)
+	if record, err := keeper.ParseRecord(object.Value); err == nil && object.Version.Exists() {
+		storeIfLater(w.record, record)
 		w.witness.ObserveHolder(record.Token, w.clock.Now())
 	}
 	w.ring.Put(RecordObserved{
@@ -147,6 +147,14 @@
 	})
 }
 
+// storeIfLater stores a record unless it is from before the latest one. The record of a
+// restored store may name an earlier holder, while a later one still grants permits.
+func storeIfLater(latest *duty.Latest[keeper.Record], record keeper.Record) {
+	if record.Follows(latest.Load()) {
+		latest.Store(record)
+	}
+}
+
 // Next implements duty.Handler.
 func (w *recordWatcher) Next() time.Time {
 	return w.nextAt
--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -15,7 +15,7 @@
 
 // RecordObserved reports the record as read from the store.
 type RecordObserved struct {
-	// Object holds the encoded record; its version is 0 when there is no record.
+	// Object holds the encoded record; its revision is 0 when there is no record.
 	Object rosemarylb.Object
 }
 
--- /dev/null
+++ b/internal/failover/keeperduty/model_restore_test.go
@@ -0,0 +1,143 @@
+package keeperduty
+
+import (
+	"flag"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"rosemarylb"
+	"rosemarylb/internal/failover/keeper"
+)
+
+const (
+	// modelMaxCopyAge is the greatest age of the copy that the store is restored from.
+	modelMaxCopyAge = 8 * time.Second
+	// modelRestoreOutage is the longest time that the store is unavailable for when it
+	// is restored.
+	modelRestoreOutage = time.Second
+)
+
+var restoreCount = flag.Int("restore-count", 40, "number of consecutive seeds to simulate with restores of the store")
+
+// TestRestoredStoreLosesNoCommit runs the simulation with a store that is restored
+// from older copies at times, so that the record, its revision and the lease go back,
+// revisions are issued again and late writes of an earlier era meet them. The
+// invariants are those of the simulation without restores.
+func TestRestoredStoreLosesNoCommit(t *testing.T) {
+	restores, reclaims, takeovers, promotions, commits := 0, 0, 0, 0, 0
+	for seed := *modelSeed; seed < *modelSeed+uint64(*restoreCount); seed++ {
+		s := newSimulation(seed)
+		s.restores.enabled = true
+		s.run()
+		if len(s.violations) > 0 {
+			t.Fatalf("seed %d: %v\n%s\nreproduce with -args -model-seed %d -restore-count 1", seed, s.violations[0],
+				strings.Join(s.recentEvents, "\n"), seed)
+		}
+		restores += s.restores.count
+		promotions += s.promotions
+		reclaims += s.restores.reclaims
+		takeovers += s.restores.takeovers
+		commits += s.commits
+	}
+	t.Logf("%d restores, %d leases written again, %d groups found out, %d promotions, %d commits in %d runs",
+		restores, reclaims, takeovers, promotions, commits, *restoreCount)
+	if restores < *restoreCount || reclaims < *restoreCount/4 || takeovers < *restoreCount/8 ||
+		promotions < *restoreCount/4 || commits < 20**restoreCount {
+		t.Errorf("too few to exercise restores")
+	}
+}
+
+// storeRestores are the copies of the simulated store and its restores.
+type storeRestores struct {
+	random  *rand.Rand
+	enabled bool
+	era     uint64
+	copies  []storeCopy
+	count   int
+	// reclaims is the number of leases that their holder wrote again, takeovers that of
+	// groups whose primary was found out after another instance took the lease.
+	reclaims  int
+	takeovers int
+}
+
+func (r *storeRestores) countLogEvent(event keeper.LogEvent) {
+	switch {
+	case event.Event == "lease written again":
+		r.reclaims++
+	case event.Event == "move started" && event.Reason == "record of an earlier era":
+		r.takeovers++
+	}
+}
+
+// storeCopy is the state of the store after a write.
+type storeCopy struct {
+	at       time.Time
+	record   keeper.Record
+	revision uint64
+}
+
+// newStoreRestores has random numbers of its own, so that the other faults of a seed
+// are the same with and without restores.
+func newStoreRestores(seed uint64) storeRestores {
+	return storeRestores{
+		random: rand.New(rand.NewPCG(seed, 11)),
+	}
+}
+
+// keepCopy keeps the state of the store after a write.
+func (r *storeRestores) keepCopy(now time.Time, record keeper.Record, revision uint64) {
+	r.copies = append(r.copies, storeCopy{
+		at:       now,
+		record:   record,
+		revision: revision,
+	})
+}
+
+// injectRestore restores the store from an older copy in one of 400 steps on average.
+// No copy is from before the first write: a store without a record looks like that of
+// a fleet that starts for the first time.
+func (s *simulation) injectRestore() {
+	if !s.restores.enabled || len(s.restores.copies) == 0 || s.restores.random.IntN(400) != 0 {
+		return
+	}
+	age := time.Duration(s.restores.random.Int64N(int64(modelMaxCopyAge)))
+	kept := 1
+	for i, c := range s.restores.copies {
+		if !c.at.After(s.now.Add(-age)) {
+			kept = i + 1
+		}
+	}
+	s.restores.copies = s.restores.copies[:kept]
+	restored := s.restores.copies[kept-1]
+	s.record, s.revision = restored.record, restored.revision
+	s.restores.era++
+	s.restores.count++
+	s.storeDownUntil = s.now.Add(time.Duration(s.restores.random.Int64N(int64(modelRestoreOutage))))
+	s.logEvent("store restored from a copy that is " + age.String() + " old, token " + tokenText(restored.record.Token))
+}
+
+func tokenText(token uint64) string {
+	return strconv.FormatUint(token, 10)
+}
+
+// version returns the version of the stored record.
+func (s *simulation) version() rosemarylb.Version {
+	return rosemarylb.Version{
+		Era:      s.restores.era,
+		Revision: s.revision,
+	}
+}
+
+// observe records the holder that a record names, as the watch of the record does.
+func (i *simulatedInstance) observe(record keeper.Record, version rosemarylb.Version, now time.Time) {
+	if !version.Exists() {
+		return
+	}
+	i.witness.ObserveHolder(record.Token, now)
+	if record.Follows(i.latest) {
+		i.latest = record
+	}
+}
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -64,6 +64,7 @@
 	endpoints      []*simulatedEndpoint
 	record         keeper.Record
 	revision       uint64
+	restores       storeRestores
 	storeDownUntil time.Time
 	scheduled      []scheduledCall
 	acknowledged   map[int]bool
@@ -103,7 +104,9 @@
 	nextDeposeAt         time.Time
 	storeAnsweredAt      time.Time
 	notification         keeper.Notification
-	callbacks            []func()
+	// latest is the record of the latest holder that the instance knows of.
+	latest    keeper.Record
+	callbacks []func()
 }
 
 // simulatedEndpoint is an endpoint; its log lists the numbers of commits.
@@ -123,6 +126,7 @@
 		now:           time.Unix(1000, 0),
 		acknowledged:  map[int]bool{},
 		holderByToken: map[uint64]rosemarylb.InstanceID{},
+		restores:      newStoreRestores(seed),
 	}
 	for i := range 3 {
 		s.endpoints = append(s.endpoints, &simulatedEndpoint{
@@ -162,6 +166,7 @@
 	instance.witness = &Witness{}
 	instance.permit = rosemarylb.Permit{}
 	instance.notification = keeper.Notification{}
+	instance.latest = keeper.Record{}
 	instance.callbacks = nil
 	instance.instanceCutUntil = map[rosemarylb.InstanceID]time.Time{}
 	instance.endpointCutUntil = map[rosemarylb.EndpointID]time.Time{}
@@ -207,6 +212,7 @@
 	for s.now.Before(end) && len(s.violations) == 0 {
 		s.now = s.now.Add(modelStep)
 		s.injectFault()
+		s.injectRestore()
 		s.replicate()
 		due := s.scheduled
 		s.scheduled = nil
@@ -394,6 +400,7 @@
 	instance.keeper, decision = instance.keeper.Decide(s.now)
 	s.execute(instance, decision)
 	for _, event := range decision.LogEvents {
+		s.restores.countLogEvent(event)
 		s.logEvent(string(instance.id) + " " + event.Event + " " + string(event.Endpoint) + " " + event.Reason)
 	}
 	if !s.now.Before(instance.nextRequestAt) {
@@ -412,8 +419,8 @@
 		s.writeRecord(instance, *decision.Write)
 	}
 	if decision.Read {
-		s.readRecord(instance, func(record keeper.Record, revision uint64) {
-			instance.keeper = instance.keeper.WithRecord(record, revision, s.now)
+		s.readRecord(instance, func(record keeper.Record, version rosemarylb.Version) {
+			instance.keeper = instance.keeper.WithRecord(record, version, s.now)
 		}, func() {
 			instance.keeper = instance.keeper.WithReadUnanswered(s.now)
 		})
@@ -452,15 +459,15 @@
 			unanswered()
 			return
 		}
-		record, revision := s.record, s.revision
+		record, version := s.record, s.version()
 		s.schedule(60*time.Millisecond, func() {
 			onInstance(func() {
 				instance.storeAnsweredAt = s.now
 				if applied {
-					instance.keeper = instance.keeper.WithWriteConfirmed(revision, s.now)
+					instance.keeper = instance.keeper.WithWriteConfirmed(version, s.now)
 					return
 				}
-				instance.keeper = instance.keeper.WithWriteConflict(record, revision, s.now)
+				instance.keeper = instance.keeper.WithWriteConflict(record, version, s.now)
 			})
 		})
 	})
@@ -468,17 +475,18 @@
 
 // applyWrite replaces the record if the write's revision is the current one.
 func (s *simulation) applyWrite(write keeper.Write) bool {
-	if write.Revision != s.revision {
+	if write.Replaces.Revision != s.revision {
 		return false
 	}
 	s.revision++
 	s.record = write.Record
+	s.restores.keepCopy(s.now, s.record, s.revision)
 	return true
 }
 
 // readRecord reads the record and calls one of the two functions in the instance.
 func (s *simulation) readRecord(
-	instance *simulatedInstance, onRecord func(keeper.Record, uint64), onFailure func(),
+	instance *simulatedInstance, onRecord func(keeper.Record, rosemarylb.Version), onFailure func(),
 ) {
 	onInstance := callbackRunner(instance)
 	if !s.storeReachable(instance) || s.now.Before(instance.storeAnswersCutUntil) {
@@ -486,14 +494,12 @@
 		return
 	}
 	s.schedule(60*time.Millisecond, func() {
-		record, revision := s.record, s.revision
+		record, version := s.record, s.version()
 		s.schedule(60*time.Millisecond, func() {
 			onInstance(func() {
 				instance.storeAnsweredAt = s.now
-				if revision > 0 {
-					instance.witness.ObserveHolder(record.Token, s.now)
-				}
-				onRecord(record, revision)
+				instance.observe(record, version, s.now)
+				onRecord(record, version)
 			})
 		})
 	})
@@ -627,15 +633,18 @@
 	if instance.notification.ReplacesWatch(s.now) {
 		instance.keeper = instance.keeper.WithLeaseNotification(s.now)
 	} else {
-		s.readRecord(instance, func(record keeper.Record, revision uint64) {
-			instance.keeper = instance.keeper.WithRecord(record, revision, s.now)
+		s.readRecord(instance, func(record keeper.Record, version rosemarylb.Version) {
+			instance.keeper = instance.keeper.WithRecord(record, version, s.now)
 			if instance.witness.HolderSilence(s.now) > 250*time.Millisecond {
-				s.adoptPermits(instance, permit.FromRecord(record, requestedAt))
+				s.adoptPermits(instance, permit.FromRecord(record, version.Era, requestedAt))
 			}
-			s.depose(instance, record)
+			s.depose(instance, instance.latest)
 		}, func() {})
 	}
-	record := instance.keeper.Record()
+	if instance.keeper.HoldsLease() {
+		instance.observe(instance.keeper.Record(), s.version(), s.now)
+	}
+	record := instance.latest
 	if record.Holder == "" || !instance.witness.Accepts(record.Token) {
 		return
 	}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -231,11 +231,11 @@
 
 func (r *Runner) handleRecordObserved(object rosemarylb.Object, now time.Time) {
 	record, err := keeper.ParseRecord(object.Value)
-	if object.Version != 0 && err != nil {
-		r.log.Error("cannot decode the keeper record", "revision", object.Version, "error", err)
+	if object.Version.Exists() && err != nil {
+		r.log.Error("cannot decode the keeper record", "revision", object.Version.Revision, "error", err)
 		return
 	}
-	if object.Version == 0 {
+	if !object.Version.Exists() {
 		record = keeper.Record{}
 	}
 	r.keeper = r.keeper.WithRecord(record, object.Version, now)
@@ -247,7 +247,7 @@
 		r.keeper = r.keeper.WithWriteUnanswered(now)
 	case e.outcome.Written:
 		r.keeper = r.keeper.WithWriteConfirmed(e.outcome.Object.Version, now)
-		r.latestRecord.Store(r.keeper.Record())
+		storeIfLater(r.latestRecord, r.keeper.Record())
 	default:
 		record, err := keeper.ParseRecord(e.outcome.Object.Value)
 		if err != nil {
--- a/internal/failover/permit/permit.go
+++ b/internal/failover/permit/permit.go
@@ -33,9 +33,12 @@
 }
 
 // FromRecord returns the permits for a record that was requested from the store
-// at requestedAt. It returns none for a group whose primary is unknown or is being
-// replaced.
-func FromRecord(r keeper.Record, requestedAt time.Time) []rosemarylb.Permit {
+// at requestedAt, which answered in the given era. It returns none for a group whose
+// primary is unknown or is being replaced, and none for a record of an earlier era.
+func FromRecord(r keeper.Record, era uint64, requestedAt time.Time) []rosemarylb.Permit {
+	if r.Era() < era {
+		return nil
+	}
 	var permits []rosemarylb.Permit
 	for name, l := range r.Groups {
 		if l.FailingOver || l.Primary == "" {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -103,7 +103,9 @@
 		if errors.Is(err, rosemarylb.ErrCompacted) {
 			// Revision 0 makes the next call list all endpoints. The known ones
 			// stay, to detect those that are missing from the new listing.
-			e.listing = e.listing.WithChanges(0, nil, nil)
+			e.listing = e.listing.WithChanges(rosemarylb.Version{
+				Era: e.listing.Version.Era,
+			}, nil, nil)
 			e.nextTickAt = now
 		}
 		return
@@ -125,7 +127,7 @@
 }
 
 func (e *EndpointWatcher) fetch() (rosemarylb.EndpointListing, error) {
-	if e.listing.Revision == 0 {
+	if !e.listing.Version.Exists() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		return e.directory.ListEndpoints(ctx)
@@ -180,7 +182,7 @@
 	directory    rosemarylb.Directory
 	log          *slog.Logger
 	publish      func(rosemarylb.Catalog)
-	revision     uint64
+	listed       rosemarylb.Version
 	version      uint64
 	notification *duty.Latest[keeper.Notification]
 	nextTickAt   time.Time
@@ -214,12 +216,12 @@
 func (c *ConfigurationWatcher) Tick(now time.Time) {
 	if n := c.notification.Load(); n.ReplacesWatch(now) {
 		c.nextTickAt = now.Add(standbyInterval)
-		c.revision = 0
+		c.listed = rosemarylb.Version{}
 		if n.CatalogVersion <= c.version {
 			return
 		}
 	}
-	next, revision, err := c.fetch()
+	next, listed, err := c.fetch()
 	if err != nil {
 		c.failures++
 		c.nextTickAt = now.Add(backoff(c.failures))
@@ -227,7 +229,7 @@
 			c.log.Warn("dependency lost", "dependency", "configuration", "error", err)
 		}
 		c.reachable = false
-		c.revision = 0
+		c.listed = rosemarylb.Version{}
 		return
 	}
 	if !c.reachable {
@@ -236,26 +238,26 @@
 	c.reachable = true
 	c.failures = 0
 	c.nextTickAt = now
-	if revision == 0 {
+	if !listed.Exists() {
 		// Without a revision, the next call does not block.
 		c.nextTickAt = now.Add(initialBackoff)
 	}
-	c.revision = revision
+	c.listed = listed
 	if next.Version > c.version {
 		c.version = next.Version
 		c.publish(next)
 	}
 }
 
-func (c *ConfigurationWatcher) fetch() (rosemarylb.Catalog, uint64, error) {
-	if c.revision == 0 {
+func (c *ConfigurationWatcher) fetch() (rosemarylb.Catalog, rosemarylb.Version, error) {
+	if !c.listed.Exists() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		return c.directory.Catalog(ctx)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), watchTimeout)
 	defer cancel()
-	return c.directory.WatchCatalog(ctx, c.revision)
+	return c.directory.WatchCatalog(ctx, c.listed)
 }
 
 // Next implements duty.Handler.
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -32,14 +32,14 @@
 }
 
 // Catalog implements rosemarylb.Directory.
-func (d *directory) Catalog(context.Context) (rosemarylb.Catalog, uint64, error) {
+func (d *directory) Catalog(context.Context) (rosemarylb.Catalog, rosemarylb.Version, error) {
 	d.calls++
-	return d.catalog, 1, d.err
+	return d.catalog, rosemarylb.Version{Revision: 1}, d.err
 }
 
 // WatchCatalog implements rosemarylb.Directory.
-func (d *directory) WatchCatalog(context.Context, uint64) (rosemarylb.Catalog, uint64, error) {
-	return d.catalog, 1, d.err
+func (d *directory) WatchCatalog(context.Context, rosemarylb.Version) (rosemarylb.Catalog, rosemarylb.Version, error) {
+	return d.catalog, rosemarylb.Version{Revision: 1}, d.err
 }
 
 type clock struct{ now time.Time }
@@ -49,7 +49,7 @@
 
 func listing(revision uint64, ids ...rosemarylb.EndpointID) rosemarylb.EndpointListing {
 	l := rosemarylb.EndpointListing{
-		Revision:  revision,
+		Version:   rosemarylb.Version{Revision: revision},
 		Endpoints: map[rosemarylb.EndpointID]rosemarylb.EndpointSpec{},
 	}
 	for _, id := range ids {
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -290,12 +290,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordReadTimeout)
 	defer cancel()
 	o, err := pr.store.Get(ctx, keeperduty.RecordName)
-	if err != nil || o.Version == 0 {
+	if err != nil || !o.Version.Exists() {
 		return
 	}
 	r, err := keeper.ParseRecord(o.Value)
 	if err != nil {
-		pr.log.Error("the keeper's record cannot be read", "revision", o.Version, "error", err)
+		pr.log.Error("the keeper's record cannot be read", "revision", o.Version.Revision, "error", err)
 		return
 	}
 	if !pr.shareKnown && r.Members > 0 {
@@ -307,7 +307,7 @@
 		})
 	}
 	pr.proxyRing.Put(proxy.PermitsReceived{
-		Permits: permit.FromRecord(r, requestedAt),
+		Permits: permit.FromRecord(r, o.Version.Era, requestedAt),
 	})
 }
 
--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/message/link"
 
@@ -51,7 +52,9 @@
 			decodeEndpoints(answered.GetEndpoints())
 		}
 		if record, err := keeper.ParseRecord(message); err == nil {
-			keeper.NewKeeper("i0", 1, "a0").WithRecord(record, 1, now).Decide(now)
+			keeper.NewKeeper("i0", 1, "a0").WithRecord(record, rosemarylb.Version{
+				Revision: 1,
+			}, now).Decide(now)
 		}
 	})
 }
--- a/internal/peer/platform/publication.go
+++ b/internal/peer/platform/publication.go
@@ -27,7 +27,7 @@
 // DecodePublication returns the publication in an object, or the zero Publication
 // if the object does not exist.
 func DecodePublication(o rosemarylb.Object) (Publication, error) {
-	if o.Version == 0 {
+	if !o.Version.Exists() {
 		return Publication{}, nil
 	}
 	var p Publication
--- a/internal/peer/platform/store.go
+++ b/internal/peer/platform/store.go
@@ -91,7 +91,7 @@
 	requestBody, err := json.Marshal(objectBody{
 		Metadata: metadataBody{
 			Name:            o.Name,
-			ResourceVersion: strconv.FormatUint(o.Version, 10),
+			ResourceVersion: strconv.FormatUint(o.Version.Revision, 10),
 		},
 		Data: o.Value,
 	})
@@ -117,8 +117,8 @@
 
 // Watch implements rosemarylb.Store. The deadline of ctx becomes the platform's
 // own time-out of the watch, after which it returns the current object.
-func (s *HTTPStore) Watch(ctx context.Context, name string, version uint64) (rosemarylb.Object, error) {
-	path := fmt.Sprintf("%s%s?watch=1&resourceVersion=%d", objectsPath, name, version)
+func (s *HTTPStore) Watch(ctx context.Context, name string, version rosemarylb.Version) (rosemarylb.Object, error) {
+	path := fmt.Sprintf("%s%s?watch=1&resourceVersion=%d", objectsPath, name, version.Revision)
 	if deadline, bounded := ctx.Deadline(); bounded {
 		path += fmt.Sprintf("&timeoutMillis=%d", time.Until(deadline).Milliseconds())
 	}
@@ -200,13 +200,15 @@
 	if err := json.Unmarshal(body, &o); err != nil {
 		return rosemarylb.Object{}, errors.Wrap(err, "object")
 	}
-	version, err := strconv.ParseUint(o.Metadata.ResourceVersion, 10, 64)
+	revision, err := strconv.ParseUint(o.Metadata.ResourceVersion, 10, 64)
 	if err != nil {
 		return rosemarylb.Object{}, errors.Wrap(err, "parse object version")
 	}
 	return rosemarylb.Object{
-		Name:    name,
-		Version: version,
-		Value:   o.Data,
+		Name: name,
+		Version: rosemarylb.Version{
+			Revision: revision,
+		},
+		Value: o.Data,
 	}, nil
 }
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -98,7 +98,7 @@
 // configurationDuty watches the object of the configuration.
 type configurationDuty struct {
 	watcher *Watcher
-	version uint64
+	version rosemarylb.Version
 	tickAt  time.Time
 	failing bool
 }
@@ -128,7 +128,7 @@
 		return
 	}
 	c.failing = false
-	if o.Version == 0 {
+	if !o.Version.Exists() {
 		c.tickAt = time.Now().Add(recheckInterval)
 	}
 	if o.Version == c.version {
@@ -137,7 +137,7 @@
 	c.version = o.Version
 	p, err := DecodePublication(o)
 	if err != nil {
-		w.log.Error("configuration could not be decoded", "version", o.Version, "reason", err.Error())
+		w.log.Error("configuration could not be decoded", "version", o.Version.Revision, "reason", err.Error())
 		return
 	}
 	w.onConfiguration(p.Revision, p.Document)
@@ -168,7 +168,7 @@
 // Dump implements duty.Handler.
 func (c *configurationDuty) Dump() any {
 	return ConfigurationReport{
-		Version: c.version,
+		Version: c.version.Revision,
 		Failing: c.failing,
 	}
 }
