Keep known endpoints when the store is restored from an older copy

Cause: a restored store lacks entries that were written after the copy, or has them in an older state, until the endpoints write them again.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -39,12 +39,14 @@
 
 // EndpointWatcher is a duty that watches the registered endpoints.
 type EndpointWatcher struct {
-	clock          rosemarylb.Clock
-	directory      rosemarylb.Directory
-	log            *slog.Logger
-	publish        func([]rosemarylb.EndpointSpec)
-	listing        rosemarylb.EndpointListing
-	missing        map[rosemarylb.EndpointID]missingEndpoint
+	clock     rosemarylb.Clock
+	directory rosemarylb.Directory
+	log       *slog.Logger
+	publish   func([]rosemarylb.EndpointSpec)
+	listing   rosemarylb.EndpointListing
+	missing   map[rosemarylb.EndpointID]missingEndpoint
+	// outdated are the endpoints whose entry in a restored store is stale.
+	outdated       map[rosemarylb.EndpointID]struct{}
 	nextTickAt     time.Time
 	reachable      bool
 	lastResponseAt *duty.Latest[time.Time]
@@ -78,6 +80,7 @@
 		log:            l,
 		publish:        publish,
 		missing:        map[rosemarylb.EndpointID]missingEndpoint{},
+		outdated:       map[rosemarylb.EndpointID]struct{}{},
 		nextTickAt:     c.Now(),
 		reachable:      true,
 		lastResponseAt: lastResponseAt,
@@ -114,6 +117,7 @@
 	e.failures = 0
 	e.lastResponseAt.Store(e.clock.Now())
 	e.nextTickAt = now.Add(minWatchInterval)
+	next = e.withKnownEntries(next)
 	e.retainMissing(next, now)
 	e.listing = next
 	var all []rosemarylb.EndpointSpec
@@ -140,11 +144,12 @@
 // retainMissing adds the endpoints that the next listing lacks to the missing
 // ones, and removes those that are listed again or have expired.
 func (e *EndpointWatcher) retainMissing(next rosemarylb.EndpointListing, now time.Time) {
+	expiresAt := now.Add(e.retention(next))
 	for id, s := range e.listing.Endpoints {
 		if _, listed := next.Endpoints[id]; !listed {
 			e.missing[id] = missingEndpoint{
 				spec:      s,
-				expiresAt: now.Add(missingRetention),
+				expiresAt: expiresAt,
 			}
 		}
 	}
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -76,6 +76,7 @@
 		log:            slog.New(slog.DiscardHandler),
 		publish:        func(all []rosemarylb.EndpointSpec) { published = all },
 		missing:        map[rosemarylb.EndpointID]missingEndpoint{},
+		outdated:       map[rosemarylb.EndpointID]struct{}{},
 		lastResponseAt: duty.NewLatest(time.Time{}),
 		notification:   duty.NewLatest(keeper.Notification{}),
 	}
@@ -160,6 +161,7 @@
 		log:            slog.New(slog.DiscardHandler),
 		publish:        func([]rosemarylb.EndpointSpec) {},
 		missing:        map[rosemarylb.EndpointID]missingEndpoint{},
+		outdated:       map[rosemarylb.EndpointID]struct{}{},
 		lastResponseAt: duty.NewLatest(time.Time{}),
 		notification:   notification,
 	}
