--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -50,6 +50,7 @@
 // Store is the state of the platform, shared by all views.
 type Store struct {
 	mu             sync.Mutex
+	era            uint64
 	revision       uint64
 	oldestRevision uint64
 	objects        map[string]map[string]Object
@@ -209,11 +210,16 @@
 	loseResponse := faults.LoseWriteResponses || rand.Float64() < faults.LoseWriteProbability
 	if loseResponse && faults.WriteDelay > 0 {
 		time.AfterFunc(faults.WriteDelay, func() {
-			s.writeIfCurrent(r.Method, parts[1], object)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.writeLocked(r.Method, parts[1], object)
 		})
 		panic(http.ErrAbortHandler)
 	}
-	status, current := s.writeIfCurrent(r.Method, parts[1], object)
+	s.mu.Lock()
+	status, current := s.writeLocked(r.Method, parts[1], object)
+	s.writeEra(w)
+	s.mu.Unlock()
 	switch {
 	case status == http.StatusNotFound:
 		w.WriteHeader(status)
@@ -224,12 +230,10 @@
 	}
 }
 
-// writeIfCurrent writes an object if its revision is the current one; a PUT of a
-// missing object is an error. It returns the HTTP status and the object that is
-// stored afterwards.
-func (s *Store) writeIfCurrent(method, kind string, object Object) (int, Object) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// writeLocked writes an object if its revision is the current one; a PUT of a missing
+// object is an error. It returns the HTTP status and the object that is stored
+// afterwards. The caller holds the lock.
+func (s *Store) writeLocked(method, kind string, object Object) (int, Object) {
 	current, found := s.objects[kind][object.Meta.Name]
 	switch {
 	case found && object.Meta.Revision != current.Meta.Revision:
--- a/internal/standin/objects/view.go
+++ b/internal/standin/objects/view.go
@@ -72,6 +72,7 @@
 	s := v.store
 	s.mu.Lock()
 	s.callCount++
+	s.writeEra(w)
 	s.mu.Unlock()
 	faults := v.countCall()
 	time.Sleep(faults.Delay)
@@ -108,6 +109,7 @@
 	s := v.store
 	s.mu.Lock()
 	object, found := s.objects[kind][name]
+	s.writeEra(w)
 	s.mu.Unlock()
 	if !found {
 		w.WriteHeader(http.StatusNotFound)
@@ -128,6 +130,7 @@
 		}
 	}
 	slices.Sort(names)
+	s.writeEra(w)
 	hasMore := len(names) > s.pageSize
 	if hasMore {
 		names = names[:s.pageSize]
@@ -148,7 +151,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if since < s.oldestRevision {
+		s.writeEra(w)
+		if since < s.oldestRevision || since > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
