Restore the store from older copies in the soak test

Change: an option adds one or two restores to a plan, with an outage and the entries and the configuration written again later. The checks are the same.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -83,6 +83,7 @@
 	Instances int    `long:"instances" default:"5" description:"number of processes"`
 	Groups    int    `long:"groups" default:"2" description:"number of replicated databases"`
 	Callers   int    `long:"callers" default:"16" description:"number of callers"`
+	Restores  bool   `long:"restores" description:"restore the store from older copies"`
 }
 
 // Execute implements flags.Commander.
@@ -104,6 +105,7 @@
 			Instances: c.Instances,
 			Groups:    c.Groups,
 			Callers:   c.Callers,
+			Restores:  c.Restores,
 		})
 		if err != nil {
 			return err
--- a/internal/experiment/soak/harness.go
+++ b/internal/experiment/soak/harness.go
@@ -220,6 +220,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.configVersion += 3
+	h.putConfig()
+}
+
+// writeConfigAgain writes the last configuration again.
+func (h *Harness) writeConfigAgain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.putConfig()
+}
+
+// putConfig writes the configuration. The caller holds the lock.
+func (h *Harness) putConfig() {
 	var routes, services []map[string]any
 	for _, g := range h.groupNames {
 		for rank, k := range routeKinds {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -28,6 +28,8 @@
 	// Instances, Groups and Callers are the numbers of processes, replication groups
 	// and concurrent callers.
 	Instances, Groups, Callers int
+	// Restores adds restores of the store from older copies to the plan.
+	Restores bool
 }
 
 // Report is the result of a run.
@@ -86,6 +88,9 @@
 		})
 	}
 	steps := Plan(o.Seed, o.Length)
+	if o.Restores {
+		steps = withRestores(steps, o.Seed, o.Length)
+	}
 	stopAudits := make(chan struct{})
 	waitAudits := duty.Spawn(func() {
 		h.auditPeriodically(stopAudits)
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -14,6 +14,7 @@
 var (
 	firstSeed = flag.Uint64("seed", 0, "first seed of a long run; 0 runs the regression seeds")
 	seedCount = flag.Int("count", 1, "number of seeds of a long run")
+	restores  = flag.Bool("restores", false, "restore the store from older copies in a long run")
 )
 
 // regressions are seeds that found a fault, each with the fault that was fixed. The
@@ -55,12 +56,27 @@
 	for seed, cause := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, cause)
+			runSeed(t, program, seed, cause, *restores)
 		})
 	}
 }
 
-func runSeed(t *testing.T, program string, seed uint64, cause string) {
+// TestGuaranteesHoldThroughRestoredStore adds restores of the store from older copies to
+// a plan with faults and to one with maintenance only.
+func TestGuaranteesHoldThroughRestoredStore(t *testing.T) {
+	if *firstSeed != 0 {
+		t.Skip("a long run of other seeds")
+	}
+	program := buildProgram(t)
+	for _, seed := range []uint64{5, 12} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, program, seed, "", true)
+		})
+	}
+}
+
+func runSeed(t *testing.T, program string, seed uint64, cause string, restores bool) {
 	t.Helper()
 	folder := t.TempDir()
 	r, err := Run(Options{
@@ -71,6 +87,7 @@
 		Instances: 5,
 		Groups:    2,
 		Callers:   16,
+		Restores:  restores,
 	})
 	if err != nil {
 		t.Fatal(err)
