Replace primaries before restores in the keeper's model

Cause: few runs of the model had a promotion between the copy and the restore, or a holder that fails with the store. The stand-in endpoints do neither.

Change: one in three copies is from just before a primary is replaced, and half of the restores hit the holder too. The model's latest primary is the endpoint that was promoted last, which makes a commit at any other one a violation.

--- a/internal/failover/keeperduty/model_restore_test.go
+++ b/internal/failover/keeperduty/model_restore_test.go
@@ -18,6 +18,9 @@
 	// modelRestoreOutage is the longest time that the store is unavailable for when it
 	// is restored.
 	modelRestoreOutage = time.Second
+	// modelMaxHolderCut is the longest time for which the holder loses the store when it
+	// is restored. It exceeds the duration of a lease.
+	modelMaxHolderCut = 14 * time.Second
 )
 
 var restoreCount = flag.Int("restore-count", 40, "number of consecutive seeds to simulate with restores of the store")
@@ -97,30 +100,57 @@
 }
 
 // injectRestore restores the store from an older copy in one of 400 steps on average.
-// No copy is from before the first write: a store without a record looks like that of
-// a fleet that starts for the first time.
+// One in three copies is from just before a primary is replaced. No copy is from before
+// the first write: a store without a record looks like that of a fleet that starts for
+// the first time.
 func (s *simulation) injectRestore() {
-	if !s.restores.enabled || len(s.restores.copies) == 0 || s.restores.random.IntN(400) != 0 {
+	r := &s.restores
+	if !r.enabled || len(r.copies) == 0 || r.random.IntN(400) != 0 {
 		return
 	}
-	age := time.Duration(s.restores.random.Int64N(int64(modelMaxCopyAge)))
+	if r.random.IntN(3) == 0 {
+		kept := len(r.copies)
+		s.replacePrimary(2 * time.Second)
+		s.scheduled = append(s.scheduled, scheduledCall{
+			at: s.now.Add(2*time.Second + time.Duration(r.random.Int64N(int64(modelMaxCopyAge)/2))),
+			run: func() {
+				s.restore(min(kept, len(r.copies)))
+			},
+		})
+		return
+	}
+	age := time.Duration(r.random.Int64N(int64(modelMaxCopyAge)))
 	kept := 1
-	for i, c := range s.restores.copies {
+	for i, c := range r.copies {
 		if !c.at.After(s.now.Add(-age)) {
 			kept = i + 1
 		}
 	}
-	s.restores.copies = s.restores.copies[:kept]
-	restored := s.restores.copies[kept-1]
-	s.record, s.revision = restored.record, restored.revision
-	s.restores.era++
-	s.restores.count++
-	s.storeDownUntil = s.now.Add(time.Duration(s.restores.random.Int64N(int64(modelRestoreOutage))))
-	s.logEvent("store restored from a copy that is " + age.String() + " old, token " + tokenText(restored.record.Token))
+	s.restore(kept)
 }
 
-func tokenText(token uint64) string {
-	return strconv.FormatUint(token, 10)
+// restore restores the store from the last of the kept copies. In two of four cases the
+// holder is killed or loses the store at the same time.
+func (s *simulation) restore(kept int) {
+	r := &s.restores
+	holder := s.instance(s.record.Holder)
+	r.copies = r.copies[:kept]
+	restored := r.copies[kept-1]
+	s.record, s.revision = restored.record, restored.revision
+	r.era++
+	r.count++
+	s.storeDownUntil = s.now.Add(time.Duration(r.random.Int64N(int64(modelRestoreOutage))))
+	s.logEvent("store restored from a copy that is " + s.now.Sub(restored.at).String() + " old, token " +
+		strconv.FormatUint(restored.record.Token, 10))
+	switch r.random.IntN(4) {
+	case 0:
+		s.logEvent(string(holder.id) + " killed")
+		holder.downUntil = s.now.Add(time.Second)
+		s.startProcess(holder)
+	case 1:
+		s.logEvent(string(holder.id) + " without store")
+		holder.storeCutUntil = s.now.Add(time.Duration(r.random.Int64N(int64(modelMaxHolderCut))))
+	}
 }
 
 // version returns the version of the stored record.
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -62,6 +62,7 @@
 	now            time.Time
 	instances      []*simulatedInstance
 	endpoints      []*simulatedEndpoint
+	leader         *simulatedEndpoint
 	record         keeper.Record
 	revision       uint64
 	restores       storeRestores
@@ -135,6 +136,7 @@
 			term:    1,
 		})
 	}
+	s.leader = s.endpoints[0]
 	for i := range modelInstances {
 		instance := &simulatedInstance{
 			id: rosemarylb.InstanceID("i" + strconv.Itoa(i)),
@@ -352,16 +354,11 @@
 	return nil
 }
 
-// latestPrimary returns the primary of the latest term, or the first endpoint if none
-// is a primary.
+// latestPrimary returns the endpoint that leads the latest term, also after it has
+// stepped down: a primary of an earlier term leads nothing, and the next promotion is
+// one to a later term.
 func (s *simulation) latestPrimary() *simulatedEndpoint {
-	latest := s.endpoints[0]
-	for _, endpoint := range s.endpoints {
-		if endpoint.primary && (!latest.primary || endpoint.term > latest.term) {
-			latest = endpoint
-		}
-	}
-	return latest
+	return s.leader
 }
 
 // replicate copies the latest primary's log to the endpoints that reach it. A former
@@ -585,6 +582,7 @@
 	endpoint.term = s.latestPrimary().term + 1
 	s.logEvent(string(endpoint.id) + " leads term " + strconv.FormatUint(uint64(endpoint.term), 10))
 	endpoint.primary = true
+	s.leader = endpoint
 	s.promotions++
 	acknowledged := map[int]bool{}
 	for _, c := range endpoint.log {
