--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -13,6 +13,15 @@
 // eras are exact in a receiver that parses numbers as 64-bit floating point.
 const tokenEraShift = 44
 
+// Log messages that the duty counts.
+const (
+	// EventLeaseVoid is logged when the store no longer has the lease of this holder.
+	EventLeaseVoid = "lease void"
+	// EventLeaseReclaimed is logged when the holder of a void lease has written its
+	// record again.
+	EventLeaseReclaimed = "lease written again"
+)
+
 // Era returns the era of the store in which the record's token was issued.
 func (r Record) Era() uint64 {
 	return r.Token >> tokenEraShift
@@ -101,7 +110,7 @@
 		k = k.withGroup(name, g)
 	}
 	return k.withLogEvent(LogEvent{
-		Event:  "lease void",
+		Event:  EventLeaseVoid,
 		Reason: "store restored",
 	})
 }
@@ -131,12 +140,13 @@
 	if k.reclaimSince.IsZero() {
 		return k
 	}
+	age := now.Sub(k.reclaimSince).Milliseconds()
 	k.reclaimSince = time.Time{}
 	k.promoteNotBefore = now.Add(takeoverDelay)
 	return k.withLogEvent(LogEvent{
-		Event:     "lease written again",
+		Event:     EventLeaseReclaimed,
 		Reason:    "store restored",
-		AgeMillis: now.Sub(k.lastWriteAt).Milliseconds(),
+		AgeMillis: age,
 	})
 }
 
--- a/internal/failover/keeperduty/model_restore_test.go
+++ b/internal/failover/keeperduty/model_restore_test.go
@@ -68,7 +68,7 @@
 
 func (r *storeRestores) countLogEvent(event keeper.LogEvent) {
 	switch {
-	case event.Event == "lease written again":
+	case event.Event == keeper.EventLeaseReclaimed:
 		r.reclaims++
 	case event.Event == "move started" && event.Reason == "record of an earlier era":
 		r.takeovers++
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -26,6 +26,7 @@
 
 var (
 	leasesTotal     = metrics.NewCounter(`rosemarylb_keeper_leases_total`)
+	voidLeasesTotal = metrics.NewCounter(`rosemarylb_keeper_leases_void_total`)
 	promotionsTotal = metrics.NewCounter(`rosemarylb_keeper_promotions_total`)
 )
 
@@ -291,8 +292,11 @@
 	var decision keeper.Decision
 	r.keeper, decision = r.keeper.Decide(now)
 	for _, event := range decision.LogEvents {
-		if event.Event == "lease taken" {
+		switch event.Event {
+		case "lease taken":
 			leasesTotal.Inc()
+		case keeper.EventLeaseVoid:
+			voidLeasesTotal.Inc()
 		}
 		r.log.Info(event.Event, "group", event.Group, "endpoint", event.Endpoint, "term", event.Term,
 			"reason", event.Reason, "age-ms", event.AgeMillis, "token", r.keeper.Record().Token)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -219,7 +219,8 @@
 // Tick implements duty.Handler. It blocks on the directory for at most
 // watchTimeout.
 func (c *ConfigurationWatcher) Tick(now time.Time) {
-	if n := c.notification.Load(); n.ReplacesWatch(now) {
+	n := c.notification.Load()
+	if n.ReplacesWatch(now) {
 		c.nextTickAt = now.Add(standbyInterval)
 		c.listed = rosemarylb.Version{}
 		if n.CatalogVersion <= c.version {
@@ -247,6 +248,11 @@
 		// Without a revision, the next call does not block.
 		c.nextTickAt = now.Add(initialBackoff)
 	}
+	if n.ReplacesWatch(now) && next.Version < n.CatalogVersion {
+		// A restored store shows an older configuration until the operator writes the
+		// reported one again.
+		c.nextTickAt = now.Add(maxBackoff)
+	}
 	c.listed = listed
 	if next.Version > c.version {
 		c.version = next.Version
--- a/internal/fleet/registry/restored_test.go
+++ b/internal/fleet/registry/restored_test.go
@@ -77,3 +77,24 @@
 		}
 	}
 }
+
+// An instance that was notified of a later configuration than the restored store shows
+// called the store without a pause.
+func TestReportedConfigurationIsNotSoughtInRestoredStoreWithoutPause(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := &directory{}
+	d.catalog.Version = 3
+	c := &ConfigurationWatcher{
+		directory: d,
+		log:       slog.New(slog.DiscardHandler),
+		publish:   func(rosemarylb.Catalog) {},
+		notification: duty.NewLatest(keeper.Notification{
+			RequestedAt:    now,
+			CatalogVersion: 9,
+		}),
+	}
+	c.Tick(now)
+	if got := c.Next().Sub(now); got != maxBackoff {
+		t.Errorf("got the next call after %s, want %s", got, maxBackoff)
+	}
+}
