--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -97,8 +97,8 @@
 type Write struct {
 	// Record is the new record.
 	Record Record
-	// Revision is the version that it replaces, 0 to create the record.
-	Revision uint64
+	// Replaces is the version that it replaces, of revision 0 to create the record.
+	Replaces rosemarylb.Version
 }
 
 // EndpointQuery is a query to send to an endpoint.
@@ -147,8 +147,10 @@
 	process uint64
 	address string
 
-	record   Record
-	revision uint64
+	// record is the record as last read, or as last confirmed while this instance holds
+	// the lease; version is that of the stored record.
+	record  Record
+	version rosemarylb.Version
 	// recordSeenAt is when the record last changed, or the holder last notified
 	// this instance that its lease is valid.
 	recordSeenAt time.Time
@@ -188,6 +190,15 @@
 	readNotBefore   time.Time
 	// readFailures counts the reads since the store last returned the record.
 	readFailures int
+	// reclaimSince is since when this holder knows that the store no longer has its
+	// lease, zero while the store has it.
+	reclaimSince time.Time
+	// eraChanged is true once this process has seen the store in two eras.
+	eraChanged bool
+	// staleTakeover is true if the lease was taken from a record of an earlier era.
+	staleTakeover bool
+	// remembered are the primaries that this process knew of when an era ended.
+	remembered map[rosemarylb.DatabaseName]Leadership
 	// availableSince is since when the lease may be taken, zero while it may not.
 	availableSince time.Time
 
@@ -292,7 +303,7 @@
 	}
 	k = k.withFleetSummary(now)
 	k = k.withWitnessCheck(now)
-	if k.mayAct(now) && !k.shuttingDown {
+	if k.mayAct(now) && !k.shuttingDown && k.reclaimSince.IsZero() {
 		for name := range k.endpoints {
 			k, d = k.decideGroup(name, d, now)
 		}
@@ -313,7 +324,9 @@
 	if !k.holdsLease {
 		return k
 	}
+	k = k.withGroupsRemembered()
 	k.holdsLease = false
+	k.reclaimSince = time.Time{}
 	k.groups = nil
 	return k.withLogEvent(LogEvent{
 		Event:  "lease lost",
--- a/internal/failover/keeper/read_delay_test.go
+++ b/internal/failover/keeper/read_delay_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"rosemarylb"
 )
 
 // A store that rejects an instance for long is not asked for the record ten times a
@@ -22,7 +24,7 @@
 			t.Errorf("got a delay of %s for the holder, want %s", got, storeRetryDelay)
 		}
 	}
-	waiting = waiting.WithRecord(Record{}, 0, now).WithReadUnanswered(now)
+	waiting = waiting.WithRecord(Record{}, rosemarylb.Version{}, now).WithReadUnanswered(now)
 	if got := waiting.readNotBefore.Sub(now); got != storeRetryDelay {
 		t.Errorf("got a delay of %s after an answer, want %s", got, storeRetryDelay)
 	}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -26,6 +26,7 @@
 
 var (
 	leasesTotal     = metrics.NewCounter(`rosemarylb_keeper_leases_total`)
+	voidLeasesTotal = metrics.NewCounter(`rosemarylb_keeper_leases_void_total`)
 	promotionsTotal = metrics.NewCounter(`rosemarylb_keeper_promotions_total`)
 )
 
@@ -249,11 +250,11 @@
 
 func (r *Runner) handleRecordObserved(object rosemarylb.Object, now time.Time) {
 	record, err := keeper.ParseRecord(object.Value)
-	if object.Version != 0 && err != nil {
-		r.log.Error("cannot decode the keeper record", "revision", object.Version, "error", err)
+	if object.Version.Exists() && err != nil {
+		r.log.Error("cannot decode the keeper record", "revision", object.Version.Revision, "error", err)
 		return
 	}
-	if object.Version == 0 {
+	if !object.Version.Exists() {
 		record = keeper.Record{}
 	}
 	r.keeper = r.keeper.WithRecord(record, object.Version, now)
@@ -265,7 +266,7 @@
 		r.keeper = r.keeper.WithWriteUnanswered(now)
 	case e.outcome.Written:
 		r.keeper = r.keeper.WithWriteConfirmed(e.outcome.Object.Version, now)
-		r.latestRecord.Store(r.keeper.Record())
+		storeIfLater(r.latestRecord, r.keeper.Record())
 	default:
 		record, err := keeper.ParseRecord(e.outcome.Object.Value)
 		if err != nil {
@@ -312,8 +313,11 @@
 	var decision keeper.Decision
 	r.keeper, decision = r.keeper.Decide(now)
 	for _, event := range decision.LogEvents {
-		if event.Event == "lease taken" {
+		switch event.Event {
+		case "lease taken":
 			leasesTotal.Inc()
+		case keeper.EventLeaseVoid:
+			voidLeasesTotal.Inc()
 		}
 		r.log.Info(event.Event, "group", event.Group, "endpoint", event.Endpoint, "term", event.Term,
 			"reason", event.Reason, "age-ms", event.AgeMillis, "token", r.keeper.Record().Token)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -46,12 +46,14 @@
 
 // EndpointWatcher is a duty that watches the registered endpoints.
 type EndpointWatcher struct {
-	clock          rosemarylb.Clock
-	directory      rosemarylb.Directory
-	log            *slog.Logger
-	publish        func([]rosemarylb.EndpointSpec)
-	listing        rosemarylb.EndpointListing
-	missing        map[rosemarylb.EndpointID]missingEndpoint
+	clock     rosemarylb.Clock
+	directory rosemarylb.Directory
+	log       *slog.Logger
+	publish   func([]rosemarylb.EndpointSpec)
+	listing   rosemarylb.EndpointListing
+	missing   map[rosemarylb.EndpointID]missingEndpoint
+	// outdated are the endpoints whose entry in a restored store is stale.
+	outdated       map[rosemarylb.EndpointID]struct{}
 	nextTickAt     time.Time
 	reachable      bool
 	lastResponseAt *duty.Latest[time.Time]
@@ -89,6 +91,7 @@
 		log:            l,
 		publish:        publish,
 		missing:        map[rosemarylb.EndpointID]missingEndpoint{},
+		outdated:       map[rosemarylb.EndpointID]struct{}{},
 		nextTickAt:     c.Now(),
 		reachable:      true,
 		lastResponseAt: lastResponseAt,
@@ -114,7 +117,9 @@
 		if errors.Is(err, rosemarylb.ErrCompacted) {
 			// Revision 0 makes the next call list all endpoints. The known ones
 			// stay, to detect those that are missing from the new listing.
-			e.listing = e.listing.WithChanges(0, nil, nil)
+			e.listing = e.listing.WithChanges(rosemarylb.Version{
+				Era: e.listing.Version.Era,
+			}, nil, nil)
 			e.nextTickAt = now
 		}
 		return
@@ -123,6 +128,7 @@
 	e.failures = 0
 	e.lastResponseAt.Store(e.clock.Now())
 	e.nextTickAt = now.Add(minWatchInterval)
+	next = e.withKnownEntries(next)
 	e.retainMissing(next, now)
 	e.listing = next
 	var all []rosemarylb.EndpointSpec
@@ -136,7 +142,7 @@
 }
 
 func (e *EndpointWatcher) fetch() (rosemarylb.EndpointListing, error) {
-	if e.listing.Revision == 0 {
+	if !e.listing.Version.Exists() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		return e.directory.ListEndpoints(ctx)
@@ -149,11 +155,12 @@
 // retainMissing adds the endpoints that the next listing lacks to the missing
 // ones, and removes those that are listed again or have expired.
 func (e *EndpointWatcher) retainMissing(next rosemarylb.EndpointListing, now time.Time) {
+	expiresAt := now.Add(e.retention(next))
 	for id, s := range e.listing.Endpoints {
 		if _, listed := next.Endpoints[id]; !listed {
 			e.missing[id] = missingEndpoint{
 				spec:      s,
-				expiresAt: now.Add(missingRetention),
+				expiresAt: expiresAt,
 			}
 		}
 	}
@@ -191,7 +198,7 @@
 	directory    rosemarylb.Directory
 	log          *slog.Logger
 	publish      func(rosemarylb.Catalog)
-	revision     uint64
+	listed       rosemarylb.Version
 	version      uint64
 	notification *duty.Latest[keeper.Notification]
 	latest       *duty.Latest[rosemarylb.Catalog]
@@ -230,14 +237,15 @@
 // Tick implements duty.Handler. It blocks on the directory for at most
 // watchTimeout.
 func (c *ConfigurationWatcher) Tick(now time.Time) {
-	if n := c.notification.Load(); n.ReplacesWatch(now) {
+	n := c.notification.Load()
+	if n.ReplacesWatch(now) {
 		c.nextTickAt = now.Add(standbyInterval)
-		c.revision = 0
+		c.listed = rosemarylb.Version{}
 		if !c.fetchDue(n.CatalogVersion, now) {
 			return
 		}
 	}
-	next, revision, err := c.fetch()
+	next, listed, err := c.fetch()
 	if err != nil {
 		c.failures++
 		c.nextTickAt = now.Add(c.backoff(now))
@@ -245,7 +253,7 @@
 			c.log.Warn("dependency lost", "dependency", "configuration", "error", err)
 		}
 		c.reachable = false
-		c.revision = 0
+		c.listed = rosemarylb.Version{}
 		return
 	}
 	if !c.reachable {
@@ -254,11 +262,11 @@
 	c.reachable = true
 	c.failures = 0
 	c.nextTickAt = now
-	if revision == 0 {
+	if !listed.Exists() {
 		// Without a revision, the next call does not block.
 		c.nextTickAt = now.Add(initialBackoff)
 	}
-	c.revision = revision
+	c.listed = listed
 	if next.Version > c.knownVersion() {
 		c.version = next.Version
 		c.publish(next)
@@ -296,15 +304,15 @@
 	return false
 }
 
-func (c *ConfigurationWatcher) fetch() (rosemarylb.Catalog, uint64, error) {
-	if c.revision == 0 {
+func (c *ConfigurationWatcher) fetch() (rosemarylb.Catalog, rosemarylb.Version, error) {
+	if !c.listed.Exists() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		return c.directory.Catalog(ctx)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), watchTimeout)
 	defer cancel()
-	return c.directory.WatchCatalog(ctx, c.revision)
+	return c.directory.WatchCatalog(ctx, c.listed)
 }
 
 // Next implements duty.Handler.
--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -103,7 +103,9 @@
 			_, _ = decodeCatalog(answered.GetCatalog())
 		}
 		if record, err := keeper.ParseRecord(message); err == nil {
-			keeper.NewKeeper("i0", 1, "a0").WithRecord(record, 1, now).Decide(now)
+			keeper.NewKeeper("i0", 1, "a0").WithRecord(record, rosemarylb.Version{
+				Revision: 1,
+			}, now).Decide(now)
 		}
 	})
 }
--- a/internal/peer/instance/quota_requester_test.go
+++ b/internal/peer/instance/quota_requester_test.go
@@ -13,6 +13,7 @@
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
 )
 
@@ -34,7 +35,7 @@
 	defer s.mu.Unlock()
 	written := o.Version == s.object.Version
 	if written {
-		o.Version++
+		o.Version.Revision++
 		s.object = o
 	}
 	return rosemarylb.PutOutcome{
@@ -43,7 +44,7 @@
 	}, nil
 }
 
-func (s *memoryStore) Watch(ctx context.Context, name string, _ uint64) (rosemarylb.Object, error) {
+func (s *memoryStore) Watch(ctx context.Context, name string, _ rosemarylb.Version) (rosemarylb.Object, error) {
 	time.Sleep(20 * time.Millisecond)
 	return s.Get(ctx, name)
 }
@@ -79,7 +80,7 @@
 	runner := keeperduty.NewRunner(keeper.NewKeeper("keeper", 1, address), c)
 	_, stop := runner.Start(store, store, store, duty.NewLatest(time.Time{}), duty.NewLatest(keeper.Notification{}))
 	t.Cleanup(stop)
-	t.Cleanup(ServeKeeper(listener, c, runner))
+	t.Cleanup(ServeKeeper(listener, c, runner, func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{})))
 	runner.Ring().Put(keeperduty.CatalogChanged{
 		Catalog: catalog,
 	})
--- a/internal/standin/objects/view.go
+++ b/internal/standin/objects/view.go
@@ -94,6 +94,7 @@
 	s := v.store
 	s.mu.Lock()
 	s.callCount++
+	s.writeEra(w)
 	s.mu.Unlock()
 	faults := v.countCall(r)
 	time.Sleep(faults.Delay)
@@ -130,6 +131,7 @@
 	s := v.store
 	s.mu.Lock()
 	object, found := s.objects[kind][name]
+	s.writeEra(w)
 	s.mu.Unlock()
 	if !found {
 		w.WriteHeader(http.StatusNotFound)
@@ -150,6 +152,7 @@
 		}
 	}
 	slices.Sort(names)
+	s.writeEra(w)
 	hasMore := len(names) > s.pageSize
 	if hasMore {
 		names = names[:s.pageSize]
@@ -170,7 +173,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if since < s.oldestRevision {
+		s.writeEra(w)
+		if since < s.oldestRevision || since > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/internal/traffic/proxy/quota_test.go
+++ b/internal/traffic/proxy/quota_test.go
@@ -21,6 +21,12 @@
 		harness: newHarness(t),
 	}
 	h.limit(2, 10)
+	h.handle(PeersChanged{
+		Peers: []rosemarylb.RelayPeer{{
+			Region: "r",
+			Domain: "r",
+		}},
+	})
 	h.openAs(10)
 	return h
 }
@@ -62,12 +68,8 @@
 	h.runScheduled()
 }
 
-// runScheduled gives the open connections to the team and lets scheduled queries run
-// on them.
+// runScheduled lets scheduled queries run.
 func (h *quotaHarness) runScheduled() {
-	for _, c := range h.proxy.connections {
-		c.team = "team"
-	}
 	h.advance(20 * time.Millisecond)
 }
 
