Keep chosen loopback addresses out of forked children

A listener that is open while another thread forks stays open in the child until its exec, so the address that had been probed and closed was still in use.

The defer in TestAddressInUseIsNotReturned set the counter back to a port just given out, and no assertion needed it.

--- a/internal/standin/line/server.go
+++ b/internal/standin/line/server.go
@@ -74,7 +74,7 @@
 }
 
 func (s *Server) listen() error {
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := loopback.ListenAgain(s.address)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/loopback/loopback_test.go
+++ b/internal/standin/loopback/loopback_test.go
@@ -3,7 +3,11 @@
 import (
 	"io"
 	"net"
+	"os"
+	"os/exec"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -56,7 +60,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer lastIndex.Store(lastIndex.Load())
 	l, err := net.Listen("tcp", first)
 	if err != nil {
 		t.Fatal(err)
@@ -80,3 +83,38 @@
 		hosts[host] = pid
 	}
 }
+
+// TestAddressIsFreeWhileProcessesStart guards against addresses that a child process
+// still has open between its fork and its exec.
+func TestAddressIsFreeWhileProcessesStart(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var stopped atomic.Bool
+	var children sync.WaitGroup
+	for range 4 {
+		children.Go(func() {
+			for !stopped.Load() {
+				_ = exec.Command(program, "-test.run", "^$").Run()
+			}
+		})
+	}
+	defer children.Wait()
+	defer stopped.Store(true)
+	for range 2000 {
+		address, err := Address()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatalf("got %v for a chosen address, want it free", err)
+		}
+		_ = l.Close()
+		if l, err = ListenAgain(address); err != nil {
+			t.Fatalf("got %v for an address that was closed, want it free", err)
+		}
+		_ = l.Close()
+	}
+}
