Name the holder that answers a seed, and ignore malformed configurations

An instance that the keeper notifies does not read the record, so as a seed it could name a former holder. It now names the holder that answers it if that is later. A request with a configuration that cannot be decoded got an error in place of permits; the content is now counted and ignored.

--- a/internal/failover/keeperduty/witness.go
+++ b/internal/failover/keeperduty/witness.go
@@ -17,6 +17,10 @@
 	token          uint64
 	lastAnsweredAt time.Time
 	ignoredToken   uint64
+	// answeringToken and answeringAddress are those of the latest holder that answered this
+	// instance.
+	answeringToken   uint64
+	answeringAddress string
 }
 
 // ObserveHolder records the token of the current holder. A new holder counts as
@@ -52,6 +56,24 @@
 	return true
 }
 
+// ObserveAnsweringHolder records the host:port of a holder that answered this instance.
+func (w *Witness) ObserveAnsweringHolder(token uint64, address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if token >= w.answeringToken {
+		w.answeringToken = token
+		w.answeringAddress = address
+	}
+}
+
+// AnsweringHolder returns the token and the host:port of the latest holder that answered
+// this instance, 0 for none.
+func (w *Witness) AnsweringHolder() (uint64, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answeringToken, w.answeringAddress
+}
+
 // Accepts reports whether requests may be sent to the holder of a token: the witness
 // has not promised to ignore it.
 func (w *Witness) Accepts(token uint64) bool {
--- a/internal/peer/instance/catalog.go
+++ b/internal/peer/instance/catalog.go
@@ -12,6 +12,7 @@
 	"rosemarylb"
 	"rosemarylb/internal/message/link"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 )
@@ -26,6 +27,8 @@
 	maxInflatedBytes = 8 << 20
 )
 
+var invalidCatalogs = metrics.NewCounter(`rosemarylb_link_invalid_configurations_total`)
+
 // errInvalidCatalog is returned for a configuration that cannot be decoded.
 var errInvalidCatalog = errors.New("invalid configuration")
 
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -38,6 +38,9 @@
 	maxRecordReadInterval = 400 * time.Millisecond
 	// seedInterval is the time between two questions to seeds.
 	seedInterval = 200 * time.Millisecond
+	// seedTimeout bounds one question to a seed. It is shorter than requestTimeout, since
+	// the duty asks the keeper only between the questions.
+	seedTimeout = 150 * time.Millisecond
 	// recordReadTimeout bounds one read of the record.
 	recordReadTimeout = 400 * time.Millisecond
 	// redialFailureCount is the number of consecutive failed requests after which
@@ -303,6 +306,7 @@
 	if !pr.keeperRunner.Witness().ObserveAnswer(pr.keeperToken, now) {
 		return errDeposed
 	}
+	pr.keeperRunner.Witness().ObserveAnsweringHolder(pr.keeperToken, pr.keeperAddress)
 	pr.shareKnown = true
 	pr.proxyRing.Put(proxy.ShareChanged{
 		Share: rosemarylb.ConnectionShare{
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -69,9 +69,7 @@
 		Region: rosemarylb.RegionName(request.GetRegion()),
 	})
 	traffic.received(request, len(request.GetCatalog()))
-	if err := s.receiveCatalog(request); err != nil {
-		return nil, err
-	}
+	s.receiveCatalog(request)
 	replies := make(chan keeperduty.PermitReply, 1)
 	if !s.ring.Offer(keeperduty.PermitRequested{
 		Report:        decodeReport(request, s.clock.Now()),
@@ -83,7 +81,7 @@
 	}
 	select {
 	case reply := <-replies:
-		encoded := encodePermitReply(reply, request)
+		encoded := encodePermitReply(withAnsweringHolder(reply, s.witness), request)
 		if reply.IsHolder {
 			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
 		}
@@ -94,18 +92,30 @@
 	}
 }
 
-// receiveCatalog passes on the configuration in a request. It returns an error
-// marked as errInvalidCatalog if it cannot be decoded.
-func (s *permitServer) receiveCatalog(request *link.PermitRequest) error {
+// withAnsweringHolder returns the reply of an instance that is not the holder with the
+// holder that answers it, if that is later than the one in the record. An instance that
+// the keeper notifies does not read the record.
+func withAnsweringHolder(reply keeperduty.PermitReply, w *keeperduty.Witness) keeperduty.PermitReply {
+	token, address := w.AnsweringHolder()
+	if !reply.IsHolder && token > reply.HolderToken {
+		reply.HolderToken = token
+		reply.HolderAddress = address
+	}
+	return reply
+}
+
+// receiveCatalog passes on the configuration in a request. One that cannot be decoded is
+// counted and ignored, so that the instance still gets its permits.
+func (s *permitServer) receiveCatalog(request *link.PermitRequest) {
 	if len(request.GetCatalog()) == 0 {
-		return nil
+		return
 	}
 	catalog, err := decodeCatalog(request.GetCatalog())
 	if err != nil {
-		return err
+		invalidCatalogs.Inc()
+		return
 	}
 	s.onCatalog(catalog)
-	return nil
 }
 
 // addCatalog adds the configuration to the reply to an instance that has an older
--- a/internal/peer/instance/seed.go
+++ b/internal/peer/instance/seed.go
@@ -10,7 +10,7 @@
 )
 
 // askSeed asks the next seed for the lease holder that it knows. It blocks for at most
-// requestTimeout. The reply's permits are not used, since the seed may not be the
+// seedTimeout. The reply's permits are not used, since the seed may not be the
 // holder; the next request goes to the holder itself.
 func (pr *PermitRequester) askSeed() {
 	if len(pr.seeds) == 0 {
@@ -26,12 +26,16 @@
 	defer func() {
 		_ = conn.Close()
 	}()
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), seedTimeout)
 	defer cancel()
-	reply, err := link.NewKeeperClient(conn).Ask(ctx, pr.newRequest(pr.clock.Now()))
+	request := pr.newRequest(pr.clock.Now())
+	traffic := newControlTrafficTo(pr.meter, address)
+	traffic.sent(request, len(request.GetCatalog()))
+	reply, err := link.NewKeeperClient(conn).Ask(ctx, request)
 	if err != nil {
 		return
 	}
+	traffic.received(reply, len(reply.GetCatalog()))
 	former := pr.holderHint
 	pr.observeHolder(reply)
 	if pr.holderHint != former {
