--- a/internal/traffic/proxy/quota.go
+++ b/internal/traffic/proxy/quota.go
@@ -22,6 +22,7 @@
 	quotaRefusedTotal  = metrics.NewCounter(`rosemarylb_quota_refused_total`)
 	quotaWaitedTotal   = metrics.NewCounter(`rosemarylb_quota_waited_total`)
 	quotaWaiting       = metrics.NewGauge(`rosemarylb_quota_waiting`, nil)
+	quotaStanding      = metrics.NewGauge(`rosemarylb_quota_standing`, nil)
 )
 
 // quotas holds the operations that wait for a token, and what the instance may admit.
@@ -31,6 +32,8 @@
 	// waiting are the waiting queries of each team in the order of their arrival. Those
 	// whose session has ended are abandoned and removed by decideWaiting.
 	waiting map[rosemarylb.TeamName][]*pendingQuery
+	// standing is true while the standing rates are in force.
+	standing bool
 }
 
 func newQuotas() quotas {
@@ -101,10 +104,29 @@
 			delete(p.quotas.waiting, team)
 		}
 	}
-	quotaWaiting.Set(float64(p.quotas.allowance.Waiting()))
+	p.publishQuotas(now)
 	p.sendQuotaRequest(now)
 }
 
+// publishQuotas sets the metrics, and logs when the standing rates come into force or
+// end.
+func (p *Proxy) publishQuotas(now time.Time) {
+	waiting := p.quotas.allowance.Waiting()
+	quotaWaiting.Set(float64(waiting))
+	standing := p.quotas.allowance.UsesStandingRates(now)
+	if standing == p.quotas.standing {
+		return
+	}
+	p.quotas.standing = standing
+	if standing {
+		quotaStanding.Set(1)
+		p.log.Warn("quota standing rates in force", "waiting", waiting)
+		return
+	}
+	quotaStanding.Set(0)
+	p.log.Info("quota standing rates ended", "waiting", waiting)
+}
+
 // dropWaiting removes the queries of sessions that have ended, and refuses those that
 // have waited for too long. The list is replaced first, as a refusal may start the next
 // query of the session.
--- a/internal/traffic/quota/allowance.go
+++ b/internal/traffic/quota/allowance.go
@@ -36,11 +36,13 @@
 // Allowance is what an instance may run under the quotas of all teams. It is
 // immutable.
 type Allowance struct {
-	self         rosemarylb.InstanceID
-	process      uint64
-	catalog      rosemarylb.Catalog
-	limitsAny    bool
-	balances     *immutable.Map[string, balance]
+	self      rosemarylb.InstanceID
+	process   uint64
+	catalog   rosemarylb.Catalog
+	limitsAny bool
+	// balances holds pointers, as it copies its values in blocks. The values are not
+	// modified.
+	balances     *immutable.Map[string, *balance]
 	sequence     uint64
 	acknowledged uint64
 	// inFlight holds the teams of the request in flight, in its order.
@@ -64,7 +66,7 @@
 	return Allowance{
 		self:     self,
 		process:  process,
-		balances: immutable.NewMap[string, balance](nil),
+		balances: immutable.NewMap[string, *balance](nil),
 	}
 }
 
@@ -105,14 +107,21 @@
 	return !now.Before(a.answeredAt.Add(standingDelay))
 }
 
+// balance returns the balance of a team, the zero value if there is none.
+func (a Allowance) balance(team rosemarylb.TeamName) balance {
+	if b, found := a.balances.Get(string(team)); found {
+		return *b
+	}
+	return balance{}
+}
+
 // WithOperation decides on an operation of a team that has just arrived. An operation
 // that has to wait is counted as waiting; WithWaiting decides on it from then on.
 func (a Allowance) WithOperation(team rosemarylb.TeamName, now time.Time) (Allowance, Verdict) {
 	if !a.limits(team) {
 		return a, Admit
 	}
-	b, _ := a.balances.Get(string(team))
-	b = b.withArrival(now)
+	b := a.balance(team).withArrival(now)
 	verdict := Wait
 	if b.waiting == 0 {
 		b, verdict = a.decide(b, now)
@@ -125,7 +134,7 @@
 		a.waiting++
 	}
 	a.wanted = a.wanted || verdict == Wait || b.needsTokens(now) && !now.Before(b.retryAt)
-	a.balances = a.balances.Set(string(team), b)
+	a.balances = a.balances.Set(string(team), &b)
 	return a, verdict
 }
 
@@ -145,8 +154,8 @@
 // WithWaiting decides on the longest waiting operation of a team, which runs or waits
 // on.
 func (a Allowance) WithWaiting(team rosemarylb.TeamName, now time.Time) (Allowance, Verdict) {
-	b, found := a.balances.Get(string(team))
-	if !found || b.waiting == 0 {
+	b := a.balance(team)
+	if b.waiting == 0 {
 		return a, Admit
 	}
 	b, verdict := a.decide(b, now)
@@ -154,41 +163,41 @@
 		b.waiting--
 		a.waiting--
 	}
-	a.balances = a.balances.Set(string(team), b)
+	a.balances = a.balances.Set(string(team), &b)
 	return a, verdict
 }
 
 // WithRefusal reports whether the operation of a team that began to wait last has to
 // be refused, and counts it as refused.
 func (a Allowance) WithRefusal(team rosemarylb.TeamName) (Allowance, bool) {
-	b, found := a.balances.Get(string(team))
-	if !found || b.refusals == 0 || b.waiting == 0 {
+	b := a.balance(team)
+	if b.refusals == 0 || b.waiting == 0 {
 		return a, false
 	}
 	b.refusals--
 	b.waiting--
 	a.waiting--
-	a.balances = a.balances.Set(string(team), b)
+	a.balances = a.balances.Set(string(team), &b)
 	return a, true
 }
 
 // WithoutWaiting removes an operation that waits no longer.
 func (a Allowance) WithoutWaiting(team rosemarylb.TeamName) Allowance {
-	b, found := a.balances.Get(string(team))
-	if !found || b.waiting == 0 {
+	b := a.balance(team)
+	if b.waiting == 0 {
 		return a
 	}
 	b.waiting--
 	a.waiting--
 	b.refusals = min(b.refusals, b.waiting)
-	a.balances = a.balances.Set(string(team), b)
+	a.balances = a.balances.Set(string(team), &b)
 	return a
 }
 
 // RetryMillis is the time after which a refused operation may be sent again, in
 // milliseconds and at least 1.
 func (a Allowance) RetryMillis(team rosemarylb.TeamName, now time.Time) int64 {
-	b, _ := a.balances.Get(string(team))
+	b := a.balance(team)
 	if now.Before(b.retryAt) {
 		return max(b.retryAt.Sub(now).Milliseconds(), 1)
 	}
@@ -232,8 +241,8 @@
 		Acknowledged: a.acknowledged,
 	}
 	for i := a.balances.Iterator(); !i.Done(); {
-		name, b, _ := i.Next()
-		b = b.withoutExpired(now)
+		name, held, _ := i.Next()
+		b := held.withoutExpired(now)
 		if b.isIdle(now) {
 			a.balances = a.balances.Delete(name)
 			continue
@@ -241,7 +250,7 @@
 		d := b.request(now)
 		d.Team = rosemarylb.TeamName(name)
 		b.asked = b.waiting
-		a.balances = a.balances.Set(name, b)
+		a.balances = a.balances.Set(name, &b)
 		if d.Wanted == 0 && d.RateMillis == 0 && d.StandingMillis == 0 {
 			continue
 		}
@@ -266,13 +275,13 @@
 	a.acknowledged = sequence
 	a.answeredAt = a.sentAt
 	for i, team := range a.inFlight {
-		b, found := a.balances.Get(string(team))
+		held, found := a.balances.Get(string(team))
 		if !found {
 			continue
 		}
-		b = b.withGrant(r.Grants[i], a.sentAt, now)
+		b := held.withGrant(r.Grants[i], a.sentAt, now)
 		a.holding = a.holding || b.standingMillis > 0
-		a.balances = a.balances.Set(string(team), b)
+		a.balances = a.balances.Set(string(team), &b)
 	}
 	return a
 }
@@ -285,6 +294,12 @@
 	return a
 }
 
+// UsesStandingRates reports whether the instance admits operations at its standing
+// rates, because the keeper does not answer.
+func (a Allowance) UsesStandingRates(now time.Time) bool {
+	return a.holding && a.isSilent(now)
+}
+
 // Waiting returns the number of operations that wait.
 func (a Allowance) Waiting() int {
 	return a.waiting
--- a/internal/traffic/quota/bucket.go
+++ b/internal/traffic/quota/bucket.go
@@ -60,6 +60,17 @@
 	return b
 }
 
+// withHolding adds a holding of an instance, or subtracts it for a sign of -1. The
+// standing rate of a silent instance counts as in use.
+func (b bucket) withHolding(h holding, silent bool, sign int64) bucket {
+	b.promisedMillis += sign * h.standingMillis
+	b.demandMillis += sign * h.demandMillis
+	if silent {
+		b.silentMillis += sign * h.standingMillis
+	}
+	return b
+}
+
 // withLimits sets the limits of a settled bucket. A lower burst takes tokens away.
 func (b bucket) withLimits(t rosemarylb.Team, now time.Time) bucket {
 	if b.rate == rateOf(t) && b.burst == burstOf(t) {
--- a/internal/traffic/quota/grant_counter.go
+++ b/internal/traffic/quota/grant_counter.go
@@ -4,7 +4,7 @@
 
 const (
 	// sliceDuration is the resolution of a grantCounter.
-	sliceDuration = 100 * time.Millisecond
+	sliceDuration = 250 * time.Millisecond
 	// sliceCount is the number of slices that cover a window from any point in the
 	// first slice on.
 	sliceCount = int(window/sliceDuration) + 1
--- a/internal/traffic/quota/ledger.go
+++ b/internal/traffic/quota/ledger.go
@@ -37,8 +37,10 @@
 	seenMembers     int
 	advancedAt      time.Time
 	sweptAt         time.Time
-	buckets         *immutable.Map[string, bucket]
-	members         *immutable.Map[string, member]
+	// The maps hold pointers, as they copy their values in blocks. The values are not
+	// modified.
+	buckets *immutable.Map[string, *bucket]
+	members *immutable.Map[string, *member]
 }
 
 // NewLedger returns the ledger of a keeper that has just taken the lease.
@@ -49,8 +51,8 @@
 		unreportedUntil: t.GrantsFrom.Add(standingLifetime),
 		reducedUntil:    t.GrantsFrom.Add(window),
 		expectedMembers: t.Members,
-		buckets:         immutable.NewMap[string, bucket](nil),
-		members:         immutable.NewMap[string, member](nil),
+		buckets:         immutable.NewMap[string, *bucket](nil),
+		members:         immutable.NewMap[string, *member](nil),
 	}
 	if t.First {
 		l.unreportedUntil = t.GrantsFrom
@@ -68,7 +70,7 @@
 	for i := l.buckets.Iterator(); !i.Done(); {
 		name, b, _ := i.Next()
 		t, _ := c.Team(rosemarylb.TeamName(name))
-		l.buckets = l.buckets.Set(name, b.settled(now, l.unreportedUntil).withLimits(t, now))
+		l = l.withBucket(b.settled(now, l.unreportedUntil).withLimits(t, now))
 	}
 	return l
 }
@@ -88,13 +90,13 @@
 		id, m, _ := i.Next()
 		switch {
 		case m.isExpired(now):
-			l = l.withHoldings(m, -1, now)
+			l = l.withoutHoldings(m.holdings, m.silent, now)
 			l.members = l.members.Delete(id)
 		case !m.silent && m.isSilent(now):
-			l = l.withHoldings(m, -1, now)
-			m.silent = true
-			l = l.withHoldings(m, 1, now)
-			l.members = l.members.Set(id, m)
+			l = l.withSilence(*m, now)
+			silent := *m
+			silent.silent = true
+			l.members = l.members.Set(id, &silent)
 		}
 	}
 	return l
@@ -103,44 +105,54 @@
 // withPause fills the buckets as if all standing rates had been in use until now.
 func (l Ledger) withPause(now time.Time) Ledger {
 	for i := l.buckets.Iterator(); !i.Done(); {
-		name, b, _ := i.Next()
+		_, b, _ := i.Next()
 		used := b.promisedMillis
 		if b.settledAt.Before(l.unreportedUntil) {
 			used += b.unreportedMillis()
 		}
-		l.buckets = l.buckets.Set(name, b.settled(l.advancedAt, l.unreportedUntil).filled(now, used))
+		l = l.withBucket(b.settled(l.advancedAt, l.unreportedUntil).filled(now, used))
 	}
 	return l
 }
 
 // bucket returns the bucket of a team that has a quota, settled at the given time.
 func (l Ledger) bucket(t rosemarylb.Team, now time.Time) bucket {
-	b, found := l.buckets.Get(string(t.Name))
-	if !found {
-		b = bucket{
-			team:      t.Name,
-			rate:      rateOf(t),
-			burst:     burstOf(t),
-			settledAt: l.grantsFrom,
-		}
+	if b, found := l.buckets.Get(string(t.Name)); found {
+		return b.settled(now, l.unreportedUntil)
+	}
+	b := bucket{
+		team:      t.Name,
+		rate:      rateOf(t),
+		burst:     burstOf(t),
+		settledAt: l.grantsFrom,
 	}
 	return b.settled(now, l.unreportedUntil)
 }
 
-// withHoldings adds the holdings of a member to the buckets, or subtracts them.
-func (l Ledger) withHoldings(m member, sign int64, now time.Time) Ledger {
-	for _, h := range m.holdings {
-		b, found := l.buckets.Get(h.team)
-		if !found {
-			continue
+// withBucket replaces the bucket of a team.
+func (l Ledger) withBucket(b bucket) Ledger {
+	l.buckets = l.buckets.Set(string(b.team), &b)
+	return l
+}
+
+// withoutHoldings subtracts holdings of a member from the buckets.
+func (l Ledger) withoutHoldings(holdings []holding, silent bool, now time.Time) Ledger {
+	for _, h := range holdings {
+		if b, found := l.buckets.Get(h.team); found {
+			l = l.withBucket(b.settled(now, l.unreportedUntil).withHolding(h, silent, -1))
 		}
-		b = b.settled(now, l.unreportedUntil)
-		b.promisedMillis += sign * h.standingMillis
-		b.demandMillis += sign * h.demandMillis
-		if m.silent {
-			b.silentMillis += sign * h.standingMillis
+	}
+	return l
+}
+
+// withSilence counts the standing rates of a member as in use from now on.
+func (l Ledger) withSilence(m member, now time.Time) Ledger {
+	for _, h := range m.holdings {
+		if b, found := l.buckets.Get(h.team); found && h.standingMillis > 0 {
+			next := b.settled(now, l.unreportedUntil)
+			next.silentMillis += h.standingMillis
+			l = l.withBucket(next)
 		}
-		l.buckets = l.buckets.Set(h.team, b)
 	}
 	return l
 }
@@ -149,26 +161,29 @@
 // later one of the same instance is not answered.
 func (l Ledger) WithRequest(r Request, now time.Time) (Ledger, Reply) {
 	l = l.Advanced(now)
-	m, known := l.members.Get(string(r.From))
-	if known && m.isStale(r) {
-		return l, Reply{}
-	}
-	if known {
-		l = l.withHoldings(m, -1, now)
-	} else {
+	var former, m member
+	known, found := l.members.Get(string(r.From))
+	switch {
+	case !found:
 		l = l.withMemberSeen(now)
+	case known.isStale(r):
+		return l, Reply{}
+	default:
+		former = *known
 	}
-	m = m.withRequest(r, now)
+	m = former.withRequest(r, now)
 	reply := Reply{
 		Answered: true,
 	}
 	for _, d := range r.Demands {
+		var h holding
+		h, former = former.withHoldingTaken(string(d.Team))
 		var g Grant
-		l, m, g = l.withDemand(m, d, now)
+		l, m, g = l.withDemand(m, d, h, former.silent, now)
 		reply.Grants = append(reply.Grants, g)
 	}
-	l = l.withHoldings(m, 1, now)
-	l.members = l.members.Set(string(r.From), m)
+	l = l.withoutHoldings(former.holdings, former.silent, now)
+	l.members = l.members.Set(string(r.From), &m)
 	return l, reply
 }
 
@@ -177,17 +192,19 @@
 func (l Ledger) withMemberSeen(now time.Time) Ledger {
 	l.seenMembers++
 	if l.seenMembers == l.expectedMembers && now.Before(l.unreportedUntil) {
-		// The rates that this last instance reports are not in the buckets yet, which it
-		// enters at the same time.
+		// The rates of this last instance enter the buckets at the same time.
 		l.unreportedUntil = now
 	}
 	return l
 }
 
-// withDemand answers one demand of a member whose former holdings are not in the
-// buckets, and adds the new holding to the member.
-func (l Ledger) withDemand(m member, d Demand, now time.Time) (Ledger, member, Grant) {
+// withDemand answers one demand of a member. Its holding for the team replaces the
+// former one, which counted as in use if the member was silent.
+func (l Ledger) withDemand(m member, d Demand, former holding, wasSilent bool, now time.Time) (Ledger, member, Grant) {
 	t, found := l.catalog.Team(d.Team)
+	if !found || !t.HasQuota() {
+		l = l.withoutHoldings([]holding{former}, wasSilent, now)
+	}
 	if !found {
 		// The instance may know a later configuration.
 		return l, m, Grant{
@@ -199,19 +216,25 @@
 			Tokens: d.Wanted,
 		}
 	}
-	b := l.bucket(t, now)
-	var g Grant
-	b, g.Tokens = b.withGrant(d.Wanted, now)
-	g.StandingMillis = l.standingMillis(b, d, now)
-	l.buckets = l.buckets.Set(string(d.Team), b)
-	m.holdings = append(m.holdings, holding{
+	b := l.bucket(t, now).withHolding(former, wasSilent, -1)
+	b, g := l.grant(b, d, now)
+	h := holding{
 		team:           string(d.Team),
 		standingMillis: max(g.StandingMillis, d.StandingMillis),
 		demandMillis:   d.RateMillis,
-	})
+	}
+	m.holdings = append(m.holdings, h)
+	return l.withBucket(b.withHolding(h, m.silent, 1)), m, g
+}
+
+// grant answers a demand from a bucket without the holding of the instance.
+func (l Ledger) grant(b bucket, d Demand, now time.Time) (bucket, Grant) {
+	var g Grant
+	b, g.Tokens = b.withGrant(d.Wanted, now)
+	g.StandingMillis = l.standingMillis(b, d, now)
 	short := d.Waiting - g.Tokens
 	if short <= 0 {
-		return l, m, g
+		return b, g
 	}
 	credit := b.credit(now.Before(l.reducedUntil))
 	share := float64(d.RateMillis) / float64(max(b.demandMillis+d.RateMillis, 1))
@@ -221,7 +244,7 @@
 	if g.Held < short {
 		g.RetryMillis = b.retryMillis(credit - float64(g.Held))
 	}
-	return l, m, g
+	return b, g
 }
 
 // standingMillis returns an instance's standing rate: its share of the demand, of what
--- a/internal/traffic/quota/member.go
+++ b/internal/traffic/quota/member.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // member is what the keeper knows of an instance that has sent a request.
 type member struct {
@@ -51,6 +54,18 @@
 	return m
 }
 
+// withHoldingTaken removes the holding for a team and returns it, the zero value if
+// there is none.
+func (m member) withHoldingTaken(team string) (holding, member) {
+	for i, h := range m.holdings {
+		if h.team == team {
+			m.holdings = slices.Delete(slices.Clone(m.holdings), i, i+1)
+			return h, m
+		}
+	}
+	return holding{}, m
+}
+
 // isSilent reports whether the member may begin to use its standing rates before the
 // next sweep that may follow.
 func (m member) isSilent(now time.Time) bool {
