--- a/internal/failover/keeperduty/reserve_test.go
+++ b/internal/failover/keeperduty/reserve_test.go
@@ -48,7 +48,9 @@
 		outcome: rosemarylb.PutOutcome{
 			Written: true,
 			Object: rosemarylb.Object{
-				Version: 1,
+				Version: rosemarylb.Version{
+					Revision: 1,
+				},
 			},
 		},
 	})
