--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -54,9 +54,9 @@
 	return r.Era() < version.Era
 }
 
-// withEra applies the era of an answer of the store. A new era voids the version of the
-// record and what was confirmed before; the record is read again.
-func (k Keeper) withEra(era uint64, now time.Time) Keeper {
+// withEra applies the era of an answer of the store, before the record in that answer. A
+// new era voids the version of the record.
+func (k Keeper) withEra(era uint64) Keeper {
 	if era <= k.version.Era {
 		return k
 	}
@@ -76,7 +76,7 @@
 	k.recordKnown = false
 	k.readNotBefore = time.Time{}
 	k.availableSince = time.Time{}
-	return k.withLeaseVoid(now)
+	return k
 }
 
 // withStaleRecord applies to a holder that the store has a record of an earlier era in
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -10,7 +10,7 @@
 // WithRecord applies the record that the store returned. Revision 0 stands for
 // no record. A record that was read in an earlier era is ignored.
 func (k Keeper) WithRecord(r Record, version rosemarylb.Version, now time.Time) Keeper {
-	k = k.withEra(version.Era, now)
+	k = k.withEra(version.Era)
 	if version.Era < k.version.Era {
 		return k
 	}
--- a/internal/failover/keeperduty/model_restore_test.go
+++ b/internal/failover/keeperduty/model_restore_test.go
@@ -110,7 +110,11 @@
 	}
 	if r.random.IntN(3) == 0 {
 		kept := len(r.copies)
-		s.replacePrimary(2 * time.Second)
+		if r.random.IntN(2) == 0 {
+			s.replacePrimary(2 * time.Second)
+		} else {
+			s.isolatePrimary()
+		}
 		s.scheduled = append(s.scheduled, scheduledCall{
 			at: s.now.Add(2*time.Second + time.Duration(r.random.Int64N(int64(modelMaxCopyAge)/2))),
 			run: func() {
@@ -129,6 +133,17 @@
 	s.restore(kept)
 }
 
+// isolatePrimary cuts the primary off, from its group for so long that it still takes
+// itself for the primary when the store is restored.
+func (s *simulation) isolatePrimary() {
+	primary := s.latestPrimary()
+	s.logEvent(string(primary.id) + " is isolated")
+	primary.replicationCutUntil = s.now.Add(modelMaxHolderCut + modelMaxCopyAge)
+	for _, i := range s.instances {
+		i.endpointCutUntil[primary.id] = s.now.Add(modelMaxCopyAge / 2)
+	}
+}
+
 // restore restores the store from the last of the kept copies. In two of four cases the
 // holder is killed or loses the store at the same time.
 func (s *simulation) restore(kept int) {
