Grant tokens up to the tolerated excess of a quota

The keeper's bucket now fills faster by what the tolerance leaves, and a count of the grants over a window and the lifetime of a token is a hard limit. After a hand-over or a change of limits it fills at the rate for one window.

--- a/internal/failover/keeperduty/reserve.go
+++ b/internal/failover/keeperduty/reserve.go
@@ -19,6 +19,8 @@
 
 // tokenGrants is the ledger of the present lease with the newest configuration.
 type tokenGrants struct {
+	tolerance quota.Tolerance
+
 	tenure  keeper.Tenure
 	catalog rosemarylb.Catalog
 	ledger  quota.Ledger
@@ -46,7 +48,7 @@
 		GrantsFrom: t.GrantsFrom,
 		Members:    t.Members,
 		First:      t.First,
-	}, g.catalog)
+	}, g.catalog, quota.WithTolerance(g.tolerance))
 	log.Info("quota ledger started", "members", t.Members, "first", t.First,
 		"fills-in-ms", t.GrantsFrom.Sub(t.TakenAt).Milliseconds())
 	return g
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -7,6 +7,7 @@
 	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/traffic/quota"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -61,6 +62,13 @@
 	}
 }
 
+// WithQuotaTolerance sets by how much teams may exceed their quotas. The default is zero.
+func WithQuotaTolerance(t quota.Tolerance) Option {
+	return func(r *Runner) {
+		r.tokens.tolerance = t
+	}
+}
+
 // NewRunner returns a duty that is not started yet. The EndpointPort that Start
 // receives must report its events to it.
 func NewRunner(k keeper.Keeper, clock rosemarylb.Clock, options ...Option) *Runner {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -18,6 +18,7 @@
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
+	"rosemarylb/internal/traffic/quota"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,8 @@
 	// Seeds are the host:port of instances that are asked for the lease holder while the
 	// store does not answer.
 	Seeds []string
+	// QuotaTolerance is by how much teams may exceed their quotas.
+	QuotaTolerance quota.Tolerance
 	// InstanceAddress is the host:port for other instances.
 	InstanceAddress string
 	// RelayAddress is the host:port for queries that other instances relay.
@@ -134,7 +137,7 @@
 	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithLocation(id.Region, id.Domain),
 		proxy.WithRelays(p.Relays, id.RelayAddress), proxy.WithQuotas(id.Instance, uint64(time.Now().UnixMicro())))
 	i.keeperRunner = keeperduty.NewRunner(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
-		keeperduty.WithLogger(i.log))
+		keeperduty.WithLogger(i.log), keeperduty.WithQuotaTolerance(id.QuotaTolerance))
 	p.SetEndpointSink(i.proxy)
 	p.SetProbeSink(i.keeperRunner)
 	i.catalogs = registry.NewConfiguration(i.log, i.publishCatalog)
--- a/internal/traffic/quota/bucket.go
+++ b/internal/traffic/quota/bucket.go
@@ -22,6 +22,10 @@
 	// demandMillis is the sum of the rates that instances report.
 	demandMillis int64
 	counter      grantCounter
+	tolerance    Tolerance
+	// steadyFrom is when the grants of former keepers no longer share a window with
+	// those of this one. Before, the bucket fills at the rate of the quota alone.
+	steadyFrom time.Time
 	// formerRate and formerBurst are the limits before the last change, which the
 	// counter still covers until formerUntil.
 	formerRate  float64
@@ -54,7 +58,11 @@
 	if !until.After(b.settledAt) {
 		return b
 	}
-	rate := max(b.rate-float64(usedMillis)/1000, 0)
+	rate := b.rate
+	if !b.settledAt.Before(b.steadyFrom) && !b.settledAt.Before(b.formerUntil) && usedMillis == 0 {
+		rate = b.tolerance.fillRate(b.rate, b.burst)
+	}
+	rate = max(rate-float64(usedMillis)/1000, 0)
 	b.tokens = min(b.tokens+rate*until.Sub(b.settledAt).Seconds(), b.burst)
 	b.settledAt = until
 	return b
@@ -82,7 +90,7 @@
 	} else {
 		b.formerRate, b.formerBurst = b.rate, b.burst
 	}
-	b.formerUntil = now.Add(window + sliceDuration)
+	b.formerUntil = now.Add(window + tokenLifetime + sliceDuration)
 	b.rate = rateOf(t)
 	b.burst = burstOf(t)
 	b.tokens = min(b.tokens, b.burst)
@@ -103,20 +111,27 @@
 
 // withGrant takes up to n tokens out of a settled bucket.
 func (b bucket) withGrant(n int, now time.Time) (bucket, int) {
-	granted := min(n, int(b.tokens))
+	b.counter = b.counter.withGrants(0, now)
+	ceiling := b.ceiling(now)
+	granted := min(n, int(b.tokens), int(ceiling-b.counter.sum))
 	if granted <= 0 {
 		return b, 0
 	}
 	b.tokens -= float64(granted)
 	b.counter = b.counter.withGrants(granted, now)
+	rosemarylb.Invariantf(b.counter.sum <= ceiling, "granted %d operations of team %s in one window, the limit is %d",
+		b.counter.sum, b.team, ceiling)
+	return b, granted
+}
+
+// ceiling is the highest number of grants in the windows that end now. For one window
+// after a change of the limits it is that of the higher ones.
+func (b bucket) ceiling(now time.Time) int64 {
 	rate, burst := b.rate, b.burst
 	if now.Before(b.formerUntil) {
 		rate, burst = max(rate, b.formerRate), max(burst, b.formerBurst)
 	}
-	limit := b.counter.limit(rate, burst)
-	rosemarylb.Invariantf(b.counter.sum <= limit, "granted %d operations of team %s in one window, the limit is %d",
-		b.counter.sum, b.team, limit)
-	return b, granted
+	return int64(b.tolerance.ceiling(rate, burst))
 }
 
 // credit is the number of further operations that are within the limit although the
--- a/internal/traffic/quota/grant_counter.go
+++ b/internal/traffic/quota/grant_counter.go
@@ -4,13 +4,14 @@
 
 const (
 	// sliceDuration is the resolution of a grantCounter.
-	sliceDuration = 250 * time.Millisecond
-	// sliceCount is the number of slices that cover a window from any point in the
-	// first slice on.
-	sliceCount = int(window/sliceDuration) + 1
+	sliceDuration = 100 * time.Millisecond
+	// sliceCount is the number of slices that cover a window and the lifetime of a token
+	// from any point in the first slice on.
+	sliceCount = int((window+tokenLifetime)/sliceDuration) + 1
 )
 
-// grantCounter is a sliding count of grants. It covers at least one window.
+// grantCounter is a sliding count of grants. It covers at least a window and the lifetime
+// of a token.
 type grantCounter struct {
 	slices [sliceCount]uint32
 	latest int64
@@ -35,8 +36,3 @@
 	c.sum += int64(n)
 	return c
 }
-
-// limit returns the highest count that a bucket with a rate and burst allows.
-func (grantCounter) limit(rate, burst float64) int64 {
-	return int64(rate*(sliceDuration*time.Duration(sliceCount)).Seconds()+burst) + 1
-}
--- a/internal/traffic/quota/ledger.go
+++ b/internal/traffic/quota/ledger.go
@@ -30,9 +30,11 @@
 // immutable.
 type Ledger struct {
 	catalog         rosemarylb.Catalog
+	tolerance       Tolerance
 	grantsFrom      time.Time
 	unreportedUntil time.Time
 	reducedUntil    time.Time
+	steadyFrom      time.Time
 	expectedMembers int
 	seenMembers     int
 	advancedAt      time.Time
@@ -43,19 +45,35 @@
 	members *immutable.Map[string, *member]
 }
 
+// LedgerOption configures a Ledger.
+type LedgerOption func(*Ledger)
+
+// WithTolerance sets by how much teams may exceed their quotas. The default is by
+// nothing but the lifetime of a token.
+func WithTolerance(t Tolerance) LedgerOption {
+	return func(l *Ledger) {
+		l.tolerance = t
+	}
+}
+
 // NewLedger returns the ledger of a keeper that has just taken the lease.
-func NewLedger(t Tenure, catalog rosemarylb.Catalog) Ledger {
+func NewLedger(t Tenure, catalog rosemarylb.Catalog, options ...LedgerOption) Ledger {
 	l := Ledger{
 		catalog:         catalog,
 		grantsFrom:      t.GrantsFrom,
 		unreportedUntil: t.GrantsFrom.Add(standingLifetime),
 		reducedUntil:    t.GrantsFrom.Add(window),
+		steadyFrom:      t.GrantsFrom.Add(window + tokenLifetime),
 		expectedMembers: t.Members,
 		buckets:         immutable.NewMap[string, *bucket](nil),
 		members:         immutable.NewMap[string, *member](nil),
 	}
 	if t.First {
 		l.unreportedUntil = t.GrantsFrom
+		l.steadyFrom = t.GrantsFrom
+	}
+	for _, o := range options {
+		o(&l)
 	}
 	return l
 }
@@ -125,6 +143,9 @@
 		rate:      rateOf(t),
 		burst:     burstOf(t),
 		settledAt: l.grantsFrom,
+
+		tolerance:  l.tolerance,
+		steadyFrom: l.steadyFrom,
 	}
 	return b.settled(now, l.unreportedUntil)
 }
