Explain: show where a request would go now, and why

An operator could not ask an instance why a request is refused, waits or goes to a certain endpoint. GET /explain on the port of metrics and dumps answers with the decision and the candidates, and the command explain prints it.

The proxy runs the decisions of a real request on a query that is never queued. Decisions that were mixed with their effects are separated: availableForRead, idleFor, openingFor, nextRelays, queueRequest and countsAsOperation.

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -240,6 +240,7 @@
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", i.handleDump)
+	mux.HandleFunc("GET /explain", i.handleExplain)
 	i.cleanups = append(i.cleanups, serveHTTP(metricsListener, mux))
 	return nil
 }
--- a/internal/shell/command/run.go
+++ b/internal/shell/command/run.go
@@ -58,6 +58,7 @@
 	Host     hostCommand     `command:"host" description:"Run one instance on the users' platform"`
 	Config   configCommand   `command:"config" description:"Check, render, publish and follow the configuration"`
 	Dump     dumpCommand     `command:"dump" description:"Print the state of an instance as JSON"`
+	Explain  explainCommand  `command:"explain" description:"Show where a request would go now, and why"`
 	Drain    drainCommand    `command:"drain" description:"Shut an instance down gracefully"`
 	Demo     demoCommand     `command:"demo" description:"Run a whole service in one process, on stand-ins"`
 	DemoLine lineDemoCommand `command:"demo-line" description:"Run the front end of the users' platform in one process, on stand-ins; needs no files"`
@@ -97,6 +98,7 @@
 	r.Config.Apply.environment = env
 	r.Config.Status.environment = env
 	r.Dump.environment = env
+	r.Explain.environment = env
 	r.Drain.environment = env
 	r.Demo.environment = env
 	r.DemoLine.environment = env
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"rosemarylb"
+	"rosemarylb/internal/traffic/explanation"
 	"rosemarylb/internal/traffic/quota"
 )
 
@@ -102,16 +103,25 @@
 	Reply quota.Reply
 }
 
-func (SessionOpened) proxyEvent()    {}
-func (PeersChanged) proxyEvent()     {}
-func (QueryReceived) proxyEvent()    {}
-func (SessionClosed) proxyEvent()    {}
-func (ConnectionOpened) proxyEvent() {}
-func (ReplyReceived) proxyEvent()    {}
-func (ConnectionLost) proxyEvent()   {}
-func (EndpointsChanged) proxyEvent() {}
-func (CatalogChanged) proxyEvent()   {}
-func (PermitsReceived) proxyEvent()  {}
-func (ShareChanged) proxyEvent()     {}
-func (KeeperChanged) proxyEvent()    {}
-func (QuotaReplied) proxyEvent()     {}
+// ExplanationRequested asks where a request would go.
+type ExplanationRequested struct {
+	// Request is the request.
+	Request explanation.Request
+	// Reply receives the explanation and has to have a place for it.
+	Reply chan<- explanation.Explanation
+}
+
+func (SessionOpened) proxyEvent()        {}
+func (PeersChanged) proxyEvent()         {}
+func (QueryReceived) proxyEvent()        {}
+func (SessionClosed) proxyEvent()        {}
+func (ConnectionOpened) proxyEvent()     {}
+func (ReplyReceived) proxyEvent()        {}
+func (ConnectionLost) proxyEvent()       {}
+func (EndpointsChanged) proxyEvent()     {}
+func (CatalogChanged) proxyEvent()       {}
+func (PermitsReceived) proxyEvent()      {}
+func (ShareChanged) proxyEvent()         {}
+func (KeeperChanged) proxyEvent()        {}
+func (QuotaReplied) proxyEvent()         {}
+func (ExplanationRequested) proxyEvent() {}
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -102,6 +102,17 @@
 	if pq.isRelayed() {
 		return p.relayTarget(pq, now)
 	}
+	best := p.availableForRead(g, pq, now)
+	p.openNearer(g, pq, best, now)
+	if best == nil && len(pq.excluded) > 0 {
+		pq.excluded = nil
+	}
+	return best
+}
+
+// availableForRead returns the endpoint with the lowest read cost that has a connection
+// available and may serve a read, nil if there is none.
+func (p *Proxy) availableForRead(g *group, pq *pendingQuery, now time.Time) *endpointPool {
 	var best *endpointPool
 	for _, ep := range g.pools {
 		if !p.canTake(ep, pq, now) || !p.mayServeRead(ep, pq, now) {
@@ -111,10 +122,6 @@
 			best = ep
 		}
 	}
-	p.openNearer(g, pq, best, now)
-	if best == nil && len(pq.excluded) > 0 {
-		pq.excluded = nil
-	}
 	return best
 }
 
@@ -193,16 +200,7 @@
 		p.placeForTeam(pq, ep, now)
 		return
 	}
-	var best *connection
-	for _, c := range ep.connections {
-		if c.state != connectionIdle || !pq.canUse(c) {
-			continue
-		}
-		if best == nil || c.affinity(pq) > best.affinity(pq) {
-			best = c
-		}
-	}
-	if best != nil {
+	if best := ep.idleFor(pq); best != nil {
 		p.execute(pq, best, now)
 		return
 	}
@@ -214,6 +212,20 @@
 	p.pipelineRead(pq, c, now)
 }
 
+// idleFor returns the most suitable idle connection for a query, nil if there is none.
+func (ep *endpointPool) idleFor(pq *pendingQuery) *connection {
+	var best *connection
+	for _, c := range ep.connections {
+		if c.state != connectionIdle || !pq.canUse(c) {
+			continue
+		}
+		if best == nil || c.affinity(pq) > best.affinity(pq) {
+			best = c
+		}
+	}
+	return best
+}
+
 // placeForTeam runs a query on a connection of its team, or through an owner.
 func (p *Proxy) placeForTeam(pq *pendingQuery, ep *endpointPool, now time.Time) {
 	path := p.teamPathTo(ep, pq, now)
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -162,6 +162,8 @@
 		p.quotas.allowance = p.quotas.allowance.WithKeeperChanged()
 	case QuotaReplied:
 		p.applyQuotaReply(e, now)
+	case ExplanationRequested:
+		e.Reply <- p.explain(e.Request, now)
 	case DrainStarted:
 		p.drain = e
 		p.log.Info("drain", "sessions", len(p.sessions))
@@ -228,7 +230,13 @@
 	if g, found := p.groups[name]; found {
 		return g
 	}
-	g := &group{
+	g := newGroup(name)
+	p.groups[name] = g
+	return g
+}
+
+func newGroup(name rosemarylb.DatabaseName) *group {
+	return &group{
 		name:   name,
 		queues: newQueues(),
 		queued: map[uint64]*pendingQuery{},
@@ -236,8 +244,6 @@
 			Group: name,
 		},
 	}
-	p.groups[name] = g
-	return g
 }
 
 func (p *Proxy) applyCatalog(e CatalogChanged, now time.Time) {
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -97,6 +97,18 @@
 // enqueue adds a query to its queue. A query that cannot be served in time is
 // rejected at once.
 func (p *Proxy) enqueue(g *group, pq *pendingQuery, now time.Time) {
+	r := p.queueRequest(g, pq, now)
+	g.queued[pq.number] = pq
+	pq.queue = p.chooseQueue(g, pq, now)
+	rest, rejection := g.queues[pq.queue].WithRequest(r, now)
+	g.queues[pq.queue] = rest
+	if rejection.Reason != rosemarylb.ReasonNone {
+		p.reject(g, rejection.Request, rejection.Reason, now)
+	}
+}
+
+// queueRequest returns the entry of a query in its queue.
+func (p *Proxy) queueRequest(g *group, pq *pendingQuery, now time.Time) rosemarylb.Request {
 	until := pq.deadline
 	switch {
 	case !p.waitsUntilDeadline(g, pq, now):
@@ -104,7 +116,7 @@
 	case pq.session.relayEndpoint != "":
 		until = pq.deadline.Add(-relayReplyMargin)
 	}
-	r := rosemarylb.Request{
+	return rosemarylb.Request{
 		ID: rosemarylb.RequestID{
 			Sequence: pq.number,
 		},
@@ -114,13 +126,6 @@
 		QueueDeadline: until,
 		Deadline:      pq.deadline,
 	}
-	g.queued[pq.number] = pq
-	pq.queue = p.chooseQueue(g, pq, now)
-	rest, rejection := g.queues[pq.queue].WithRequest(r, now)
-	g.queues[pq.queue] = rest
-	if rejection.Reason != rosemarylb.ReasonNone {
-		p.reject(g, rejection.Request, rejection.Reason, now)
-	}
 }
 
 // waitsUntilDeadline reports whether a query may stay queued until its deadline,
@@ -187,7 +192,12 @@
 		return
 	}
 	delete(g.queued, pq.number)
-	p.complete(pq, rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: "+reason.String()), now)
+	p.complete(pq, rejectionReply(reason), now)
+}
+
+// rejectionReply returns the reply to a query that its queue rejects.
+func rejectionReply(reason rosemarylb.Reason) rosemarylb.Reply {
+	return rosemarylb.NewReply(rosemarylb.ReplyBusy, "not run: "+reason.String())
 }
 
 // rejectExpired rejects queries whose maximum queue time has passed. Those that
--- a/internal/traffic/proxy/quota.go
+++ b/internal/traffic/proxy/quota.go
@@ -59,7 +59,7 @@
 // the quota of its team does not allow yet. Relayed queries were admitted by the
 // instance that relays them.
 func (p *Proxy) admit(pq *pendingQuery, now time.Time) {
-	if pq.session.relayEndpoint != "" || pq.team == "" || pq.inTransaction && !pq.needsBegin {
+	if !pq.countsAsOperation() {
 		p.schedule(pq, now)
 		return
 	}
@@ -78,11 +78,21 @@
 	p.sendQuotaRequest(now)
 }
 
+// countsAsOperation reports whether a query takes a token of its team's quota here.
+func (pq *pendingQuery) countsAsOperation() bool {
+	return !pq.isRelayed() && pq.team != "" && (!pq.inTransaction || pq.needsBegin)
+}
+
 // refuseOperation answers a query that was not run because of its team's quota.
 func (p *Proxy) refuseOperation(pq *pendingQuery, now time.Time) {
 	quotaRefusedTotal.Inc()
-	text := fmt.Sprintf("not run: quota, retry-after-ms=%d", p.quotas.allowance.RetryMillis(pq.team, now))
-	p.complete(pq, rosemarylb.NewReply(rosemarylb.ReplyBusy, text), now)
+	p.complete(pq, quotaReply(p.quotas.allowance.RetryMillis(pq.team, now)), now)
+}
+
+// quotaReply returns the reply to an operation beyond its team's quota, which may be sent
+// again after a time in milliseconds.
+func quotaReply(retryMillis int64) rosemarylb.Reply {
+	return rosemarylb.NewReply(rosemarylb.ReplyBusy, fmt.Sprintf("not run: quota, retry-after-ms=%d", retryMillis))
 }
 
 func (p *Proxy) applyQuotaReply(e QuotaReplied, now time.Time) {
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -159,21 +159,30 @@
 // region, which may have an idle connection while those of this instance are
 // busy.
 func (p *Proxy) openRelay(ep *endpointPool, now time.Time) {
-	if now.Before(ep.nextRelayAt) || ep.relayCount() >= maxRelays || ep.openingRelayCount() > 1 ||
-		!ep.group.hasLocalQueries() {
+	if !ep.group.hasLocalQueries() {
 		return
 	}
+	near := p.nextRelays(ep, now)
+	if len(near) == 0 {
+		return
+	}
+	p.lastID++
+	p.open(ep, ep.spec.WithRelay(near[p.lastID%uint64(len(near))]), now)
+}
+
+// nextRelays returns the addresses of the instances through which another relay
+// connection to an endpoint may be opened now.
+func (p *Proxy) nextRelays(ep *endpointPool, now time.Time) []string {
+	if now.Before(ep.nextRelayAt) || ep.relayCount() >= maxRelays || ep.openingRelayCount() > 1 {
+		return nil
+	}
 	var near []string
 	for _, address := range p.relayCandidates(ep) {
 		if address != p.address && ep.mayRelayThrough(address, now) {
 			near = append(near, address)
 		}
 	}
-	if len(near) == 0 {
-		return
-	}
-	p.lastID++
-	p.open(ep, ep.spec.WithRelay(near[p.lastID%uint64(len(near))]), now)
+	return near
 }
 
 // mayRelayThrough reports whether a relay connection may be opened through the
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -35,7 +35,7 @@
 	if !found && e.Endpoint == "" {
 		p.log.Info("session refused", "session", e.Session, "database", e.Database,
 			"version", p.catalog.Version, "reason", "no-database")
-		p.rejectSession(e.Session, rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
+		p.rejectSession(e.Session, noDatabaseReply())
 		return
 	}
 	team, admitted := p.catalog.Admit(route, e.Key)
@@ -66,6 +66,14 @@
 	p.acceptSession(e.Session)
 }
 
+func noDatabaseReply() rosemarylb.Reply {
+	return rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name")
+}
+
+func noConfigurationReply() rosemarylb.Reply {
+	return rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance has no configuration yet")
+}
+
 // rejectWaitingSessions rejects the sessions that have waited too long for the
 // first configuration.
 func (p *Proxy) rejectWaitingSessions(now time.Time) {
@@ -73,7 +81,7 @@
 		expired := now.After(waiting.expiresAt)
 		if expired {
 			p.rejectSession(waiting.event.Session,
-				rosemarylb.NewReply(rosemarylb.ReplyBusy, "the instance has no configuration yet"))
+				noConfigurationReply())
 		}
 		return expired
 	})
@@ -129,7 +137,7 @@
 	if s.state.TransactionState() == rosemarylb.TransactionNone || s.relayEndpoint != "" {
 		route, found := p.route(s, q)
 		if !found {
-			p.sendReply(s.state.ID(), rosemarylb.NewReply(rosemarylb.ReplyNoDatabase, "no database has this name"))
+			p.sendReply(s.state.ID(), noDatabaseReply())
 			return
 		}
 		s.route = route
--- a/internal/traffic/proxy/teams.go
+++ b/internal/traffic/proxy/teams.go
@@ -195,23 +195,33 @@
 // openForTeam opens a connection of a team. Where the limit is reached, it replaces the
 // connection of another team that has been idle for longest.
 func (p *Proxy) openForTeam(ep *endpointPool, team rosemarylb.TeamName, now time.Time) {
+	idle, allowed := p.openingFor(ep, team, now)
+	if !allowed {
+		return
+	}
+	if idle != nil {
+		replacedTotal.Inc()
+		p.closeConnection(idle, now)
+	}
+	p.open(ep, ep.spec.WithTeam(team), now)
+}
+
+// openingFor reports whether a connection of a team may be opened now, and returns the
+// idle connection that it replaces, nil if none.
+func (p *Proxy) openingFor(ep *endpointPool, team rosemarylb.TeamName, now time.Time) (*connection, bool) {
 	if ep.removed || now.Before(ep.nextOpenAt) || ep.openingDirect(team) > 0 ||
 		ep.count(connectionOpening) >= maxOpening || ep.atConcurrencyLimit() {
-		return
+		return nil, false
 	}
 	limit := p.connectionLimit(ep)
 	if limit == 0 {
-		return
+		return nil, false
 	}
-	if !ep.canOpen(limit, now) {
-		idle := ep.leastRecentlyUsed(team)
-		if idle == nil {
-			return
-		}
-		replacedTotal.Inc()
-		p.closeConnection(idle, now)
+	if ep.canOpen(limit, now) {
+		return nil, true
 	}
-	p.open(ep, ep.spec.WithTeam(team), now)
+	idle := ep.leastRecentlyUsed(team)
+	return idle, idle != nil
 }
 
 // openingDirect returns the number of connections of a team that are being opened.
@@ -260,15 +270,13 @@
 // canSendForTeam reports whether a query can be sent now, or has to be rejected. If no
 // connection is available, it opens one to the endpoint with the lowest cost.
 func (p *Proxy) canSendForTeam(g *group, pq *pendingQuery, now time.Time) bool {
-	var cheapest *endpointPool
-	for _, ep := range p.teamEndpoints(g, pq, now) {
+	endpoints := p.teamEndpoints(g, pq, now)
+	for _, ep := range endpoints {
 		if _, rejected := p.relayRejection(pq, ep); rejected || p.teamPathTo(ep, pq, now).connection != nil {
 			return true
 		}
-		if cheapest == nil || p.readCost(ep) < p.readCost(cheapest) {
-			cheapest = ep
-		}
 	}
+	cheapest := p.cheapest(endpoints)
 	if cheapest == nil {
 		_, rejected := p.relayRejection(pq, nil)
 		return rejected
@@ -276,3 +284,14 @@
 	p.follow(p.teamPathTo(cheapest, pq, now), cheapest, pq.team, now)
 	return false
 }
+
+// cheapest returns the endpoint with the lowest read cost, nil if there is none.
+func (p *Proxy) cheapest(endpoints []*endpointPool) *endpointPool {
+	var best *endpointPool
+	for _, ep := range endpoints {
+		if best == nil || p.readCost(ep) < p.readCost(best) {
+			best = ep
+		}
+	}
+	return best
+}
