--- a/internal/shell/command/explain.go
+++ b/internal/shell/command/explain.go
@@ -80,15 +80,15 @@
 		return nil
 	}
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	rows := []string{"ENDPOINT\tROLE\tDOMAIN\tREGION\tCOST-MS\tSERVES\tREASON\tOWNERS"}
+	rows := []string{"ENDPOINT\tROLE\tDOMAIN\tREGION\tCOST-MS\tSERVES\tCONNECTION\tREASON\tOWNERS"}
 	for _, e := range candidates {
 		serves := "no"
 		if e.Serves {
 			serves = "yes"
 		}
 		rows = append(rows, strings.Join([]string{
-			e.Endpoint, e.Role, e.Domain, e.Region, fmt.Sprintf("%.1f", e.CostMillis), serves, orDash(e.Reason),
-			orDash(strings.Join(e.Owners, ",")),
+			e.Endpoint, e.Role, e.Domain, e.Region, fmt.Sprintf("%.1f", e.CostMillis), serves,
+			candidateConnection(e), orDash(e.Reason), orDash(strings.Join(e.Owners, ",")),
 		}, "\t"))
 	}
 	if _, err := fmt.Fprintln(w, strings.Join(rows, "\n")); err != nil {
@@ -97,6 +97,14 @@
 	return errors.Wrap(w.Flush(), "print")
 }
 
+// candidateConnection returns the connection to a candidate, a dash if there is none.
+func candidateConnection(e explanation.Candidate) string {
+	if e.Via == "" {
+		return orDash(string(e.Connection))
+	}
+	return string(e.Connection) + " via " + e.Via
+}
+
 // orDash returns a text, or a dash in place of an empty one.
 func orDash(text string) string {
 	if text == "" {
--- a/internal/shell/command/explain_test.go
+++ b/internal/shell/command/explain_test.go
@@ -24,6 +24,14 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// explainArgs returns the command line of the request that serveExplanation expects.
+func explainArgs(address string) []string {
+	return []string{
+		"explain", "--address", address, "--database", "db 1", "--team", "a&b", "--kind", "begin-read",
+		"--floor", "2.30",
+	}
+}
+
 // TestExplainPrintsDecisionFirst guards against a decision that the operator cannot tell
 // from the output, and against parameters that do not arrive as given.
 func TestExplainPrintsDecisionFirst(t *testing.T) {
@@ -72,18 +80,20 @@
 				Domain:     "d",
 				Region:     "r",
 				CostMillis: 4.25,
+				Connection: explanation.ConnectionNew,
+				Via:        "y:1",
 				Reason:     "leaving",
 				Owners:     []string{"x:1", "y:1"},
 			}},
 		})
 		var out, errOut strings.Builder
-		code := Run([]string{"explain", "--address", address, "--database", "db 1", "--team", "a&b", "--kind", "begin-read", "--floor", "2.30"}, &out, &errOut)
+		code := Run(explainArgs(address), &out, &errOut)
 		lines := strings.Split(out.String(), "\n")
 		if code != ExitOK || lines[0] != test.want {
 			t.Errorf("got exit code %d, %q and errors %q, want %q", code, lines[0], errOut.String(), test.want)
 		}
 		row := strings.Join(strings.Fields(lines[2]), " ")
-		if want := "e2 replica d r 4.2 no leaving x:1,y:1"; row != want {
+		if want := "e2 replica d r 4.2 no new via y:1 leaving x:1,y:1"; row != want {
 			t.Errorf("got row %q, want %q", row, want)
 		}
 	}
@@ -98,7 +108,7 @@
 		},
 	})
 	var out, errOut strings.Builder
-	code := Run([]string{"explain", "--address", address, "--database", "db 1", "--team", "a&b", "--kind", "begin-read", "--floor", "2.30", "--json"}, &out, &errOut)
+	code := Run(append(explainArgs(address), "--json"), &out, &errOut)
 	if code != ExitOK || !strings.Contains(out.String(), `"retry-after-ms": 70`) {
 		t.Errorf("got exit code %d, %q and errors %q, want the time to come back", code, out.String(), errOut.String())
 	}
--- a/internal/traffic/explanation/explanation.go
+++ b/internal/traffic/explanation/explanation.go
@@ -65,6 +65,11 @@
 	Serves bool `json:"serves"`
 	// Reason is why it does not serve the request, empty if it does.
 	Reason string `json:"reason,omitempty"`
+	// Connection is the connection that the request would go on, empty for none.
+	Connection Connection `json:"connection,omitempty"`
+	// Via is the address of the instance that would relay the request, empty for a
+	// direct connection.
+	Via string `json:"via,omitempty"`
 	// Owners are the addresses of the instances that hold the endpoint's connections,
 	// in the order in which the team asks them.
 	Owners []string `json:"owners,omitempty"`
--- a/internal/traffic/proxy/explain.go
+++ b/internal/traffic/proxy/explain.go
@@ -273,13 +273,16 @@
 		if p.usesTeams() && p.knowsPeersOf(ep) {
 			c.Owners = slices.Clone(p.rankedOwners(ep, pq.team))
 		}
+		path := p.explainPath(ep, pq, now)
 		switch {
 		case !slices.Contains(serving, ep):
 			c.Reason = p.unsuitability(ep, pq, now)
-		case p.explainPath(ep, pq, now).connection == "":
+		case path.connection == "":
 			c.Reason = "no connection"
 		default:
 			c.Serves = true
+			c.Connection = path.connection
+			c.Via = path.via
 		}
 		candidates = append(candidates, c)
 	}
--- a/internal/traffic/proxy/explain_test.go
+++ b/internal/traffic/proxy/explain_test.go
@@ -158,68 +158,44 @@
 // TestExplanationOfRefusals guards against a refusal that an operator cannot trace to its
 // cause.
 func TestExplanationOfRefusals(t *testing.T) {
+	nothing := func(*harness) {}
 	tests := []struct {
-		request explanation.Request
-		prepare func(*harness)
-		outcome explanation.Outcome
-		code    string
-		reason  string
+		database string
+		team     rosemarylb.TeamName
+		prepare  func(*harness)
+		outcome  explanation.Outcome
+		code     string
+		reason   string
 	}{
-		{
-			explanation.Request{
-				Database: "none",
-			}, func(*harness) {}, explanation.OutcomeRefused, "no-database", "no database",
-		},
-		{
-			explanation.Request{
-				Database: "primary",
-				Team:     "zz",
-			}, func(*harness) {}, explanation.OutcomeRefused, "unauthenticated", "unknown team zz",
-		},
-		{
-			explanation.Request{
-				Database: "primary",
-			}, func(*harness) {}, explanation.OutcomeRefused, "unauthenticated", "needs an API key",
-		},
-		{
-			explanation.Request{
-				Database: "primary",
-				Team:     "a",
-			}, func(h *harness) { h.advance(600 * time.Millisecond) }, explanation.OutcomeWaits, "busy", "a primary",
-		},
-		{
-			explanation.Request{
-				Database: "primary",
-				Team:     "a",
-			}, func(h *harness) {
-				h.handle(DrainStarted{
-					CloseAt: h.now,
-					AbortAt: h.now.Add(time.Second),
-					EndAt:   h.now.Add(time.Second),
-				})
-			}, explanation.OutcomeRefused, "busy", "shuts down",
-		},
-		{
-			explanation.Request{
-				Database: "primary",
-				Team:     "a",
-			}, func(h *harness) {
-				for id := range rosemarylb.SessionID(2) {
-					h.joinWithKey(20+id, "primary", "k1")
-					h.ask(20+id, rosemarylb.QueryWrite)
-				}
-			}, explanation.OutcomeWaits, "busy", "a free connection to e1",
-		},
+		{"none", "a", nothing, explanation.OutcomeRefused, "no-database", "no database"},
+		{"primary", "zz", nothing, explanation.OutcomeRefused, "unauthenticated", "unknown team zz"},
+		{"primary", "", nothing, explanation.OutcomeRefused, "unauthenticated", "needs an API key"},
+		{"primary", "a", func(h *harness) { h.advance(600 * time.Millisecond) }, explanation.OutcomeWaits, "busy", "a primary"},
+		{"primary", "a", func(h *harness) {
+			h.handle(DrainStarted{
+				CloseAt: h.now,
+				EndAt:   h.now.Add(time.Second),
+			})
+		}, explanation.OutcomeRefused, "busy", "shuts down"},
+		{"primary", "a", func(h *harness) {
+			for id := range rosemarylb.SessionID(2) {
+				h.joinWithKey(20+id, "primary", "k1")
+				h.ask(20+id, rosemarylb.QueryWrite)
+			}
+		}, explanation.OutcomeWaits, "busy", "a free connection to e1"},
 	}
 	for _, test := range tests {
 		h := newTeamHarness(t)
 		test.prepare(h)
-		d := h.explain(test.request).Decision
+		d := h.explain(explanation.Request{
+			Database: test.database,
+			Team:     test.team,
+		}).Decision
 		if d.Outcome != test.outcome || d.Code != test.code || !strings.Contains(d.Reason, test.reason) {
-			t.Errorf("%+v: got %+v, want %s with %s and reason %q", test.request, d, test.outcome, test.code, test.reason)
+			t.Errorf("%s: got %+v, want %s with %s", test.reason, d, test.outcome, test.code)
 		}
 		if d.Outcome == explanation.OutcomeWaits && (d.WaitsAtMostMillis <= 0 || d.WaitsAtMostMillis > 800) {
-			t.Errorf("%+v: got %d ms, want a wait within the timeout of the route", test.request, d.WaitsAtMostMillis)
+			t.Errorf("%s: got %d ms, want a wait within the timeout of the route", test.reason, d.WaitsAtMostMillis)
 		}
 	}
 }
