End an inherited failover only where all other endpoints answer

Cause: two keepers in a row each promoted an endpoint and lost the lease before they recorded it.

Change: in an inherited failover all endpoints but the previous primary have to answer, unless the keeper has promoted the successor itself. Otherwise it goes on to promote.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -179,7 +179,7 @@
 		return k.resolveRestored(name, now), d
 	}
 	permitsExpired := !g.failover.recordedAt.IsZero() && !now.Before(g.failover.recordedAt.Add(PermitDuration))
-	if id, term, found := g.successor(); found {
+	if id, term, found := g.successor(); found && k.isLatestPrimary(name, id, now) {
 		if !permitsExpired || !g.failover.promotionsSettled(id, now) {
 			return k, d
 		}
@@ -234,6 +234,25 @@
 	return found, term, found != ""
 }
 
+// isLatestPrimary reports whether no other endpoint can lead a later term than a
+// successor of the previous primary. Former keepers may have promoted several endpoints
+// without recording it, the last of which need not answer: all but the previous primary
+// have to, unless this keeper has promoted the successor itself.
+func (k Keeper) isLatestPrimary(name rosemarylb.DatabaseName, id rosemarylb.EndpointID, now time.Time) bool {
+	g := k.groups[name]
+	if g.failover.reason != reasonInherited || id == g.failover.promotionTarget {
+		return true
+	}
+	for _, e := range k.endpoints[name] {
+		s := g.states[e.ID]
+		fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
+		if e.ID != g.failover.previous.Primary && !fresh {
+			return false
+		}
+	}
+	return true
+}
+
 // recovered reports whether the previous primary is available again and may stay
 // primary: neither a promotion nor a step-down has been sent, and the failover was
 // not taken over from another keeper, which may have sent one.
--- a/internal/failover/keeper/failover_test.go
+++ b/internal/failover/keeper/failover_test.go
@@ -50,3 +50,48 @@
 		t.Errorf("got the second promotion after %s, want %s or more", got, promotionRefusalDelay)
 	}
 }
+
+// Two former keepers had each promoted an endpoint without recording it. The next one
+// took the first of them for the primary while the second did not answer.
+func TestInheritedFailoverEndsOnlyWhereAllOthersAnswer(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		silent rosemarylb.EndpointID
+		want   rosemarylb.EndpointID
+	}{
+		"previous primary is silent": {"e1", "e2"},
+		"another is silent":          {"e3", ""},
+	} {
+		k := newHolder(start)
+		k = k.WithEndpoints([]rosemarylb.EndpointSpec{
+			{ID: "e1", Database: "g"}, {ID: "e2", Database: "g"}, {ID: "e3", Database: "g"},
+		})
+		k.promoteNotBefore = start.Add(time.Hour)
+		k.record = k.record.WithLeadership("g", Leadership{
+			Primary:     "e1",
+			Term:        1,
+			FailingOver: true,
+		})
+		k.groups = nil
+		var got rosemarylb.EndpointID
+		for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(100 * time.Millisecond) {
+			k, _ = k.Decide(now)
+			for _, e := range k.endpoints["g"] {
+				k = k.WithStatus(Status{
+					Group:    "g",
+					Endpoint: e.ID,
+					ProbedAt: now.Add(time.Millisecond),
+					Answered: e.ID != test.silent,
+					Primary:  e.ID == "e2",
+					Term:     2,
+				})
+			}
+			if grants, _ := k.Grants(now); len(grants) > 0 {
+				got = grants[0].Primary
+			}
+		}
+		if got != test.want {
+			t.Errorf("%s: got a grant for %q, want %q", name, got, test.want)
+		}
+	}
+}
