--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -179,7 +179,7 @@
 		return k.resolveRestored(name, now), d
 	}
 	permitsExpired := !g.failover.recordedAt.IsZero() && !now.Before(g.failover.recordedAt.Add(PermitDuration))
-	if id, term, found := g.successor(); found && k.isLatestPrimary(name, id, now) {
+	if id, term, found := k.latestSuccessor(name, now); found {
 		if !permitsExpired || !g.failover.promotionsSettled(id, now) {
 			return k, d
 		}
@@ -234,6 +234,13 @@
 	return found, term, found != ""
 }
 
+// latestSuccessor returns the successor of the previous primary and its term, and false
+// if there is none or if it need not be the latest one.
+func (k Keeper) latestSuccessor(name rosemarylb.DatabaseName, now time.Time) (rosemarylb.EndpointID, rosemarylb.Term, bool) {
+	id, term, found := k.groups[name].successor()
+	return id, term, found && k.isLatestPrimary(name, id, now)
+}
+
 // isLatestPrimary reports whether no other endpoint can lead a later term than a
 // successor of the previous primary. Former keepers may have promoted several endpoints
 // without recording it, the last of which need not answer: all but the previous primary
