Grant tokens through deputies while the keeper is silent

Each team now has a deputy, chosen by consistent hashing among the peers. It holds what is left of the team's standing rate, and grants it to the other instances by ReserveFromDeputy, only while the keeper does not answer it.

A holder whose predecessor was an earlier process of the same instance fills its buckets at once: that process has ended.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -178,7 +178,10 @@
 	confirmedAt time.Time
 	// cleanTakeover is true if the previous holder had released the lease.
 	cleanTakeover bool
-	tenure        Tenure
+	// ownTakeover is true if the previous holder was an earlier process of this
+	// instance. It has ended, but promotions that it sent may be in transit.
+	ownTakeover bool
+	tenure      Tenure
 	// storeFailingSince is when the first of the unanswered writes was sent.
 	storeFailingSince time.Time
 	writePending      bool
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -185,6 +185,7 @@
 	if !k.holdsLease {
 		k.staleTakeover = k.isStale(k.record, k.version)
 		k.cleanTakeover = k.leaseReleased() && !k.staleTakeover
+		k.ownTakeover = k.record.Holder == k.self
 		k = k.withAvailability(now)
 		return k, k.takenRecord(), k.mayTakeLease(now)
 	}
--- a/internal/failover/keeper/tenure.go
+++ b/internal/failover/keeper/tenure.go
@@ -22,7 +22,7 @@
 		Members:    k.record.Members,
 		First:      k.record.Token == 1,
 	}
-	if !k.cleanTakeover && !t.First {
+	if !k.cleanTakeover && !k.ownTakeover && !t.First {
 		// As for promotions, but for the time that a promotion may be in transit.
 		t.GrantsFrom = now.Add(takeoverDelay - PromotionTimeout)
 	}
--- a/internal/peer/instance/notification.go
+++ b/internal/peer/instance/notification.go
@@ -35,6 +35,8 @@
 			Address: p.GetAddress(),
 			Domain:  rosemarylb.DomainName(p.GetDomain()),
 			Region:  rosemarylb.RegionName(p.GetRegion()),
+
+			InstanceAddress: p.GetInstanceAddress(),
 		}
 	}
 	pr.peers = peers
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -11,6 +11,7 @@
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/process/meter"
+	"rosemarylb/internal/traffic/quota"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
@@ -31,15 +32,17 @@
 	catalogs  *catalogEncoder
 	onCatalog func(rosemarylb.Catalog)
 	meter     *meter.Meter
+	// onDeputyRequest passes on a request to this instance as the deputy of teams.
+	onDeputyRequest func([]quota.Demand, chan<- quota.Reply) bool
 }
 
 // ServeKeeper serves the permit requests of other instances on a listener. It calls
 // onCatalog, which must not block, with each configuration that a request carries, and
-// counts the messages with m.
-// The returned function stops the server and waits for it to end.
+// counts the messages with m. onDeputyRequest receives the requests to this instance as
+// the deputy of teams; it must not block, and returns false if it drops one. The returned function stops the server and waits for it to end.
 func ServeKeeper(
 	listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner, onCatalog func(rosemarylb.Catalog),
-	m *meter.Meter,
+	m *meter.Meter, onDeputyRequest func([]quota.Demand, chan<- quota.Reply) bool,
 ) func() {
 	s := grpc.NewServer()
 	link.RegisterKeeperServer(s, &permitServer{
@@ -49,6 +52,8 @@
 		catalogs:  &catalogEncoder{},
 		onCatalog: onCatalog,
 		meter:     m,
+
+		onDeputyRequest: onDeputyRequest,
 	})
 	wait := duty.Spawn(func() {
 		_ = s.Serve(listener)
@@ -143,6 +148,8 @@
 			Address: request.GetRelayAddress(),
 			Domain:  rosemarylb.DomainName(request.GetDomain()),
 			Region:  rosemarylb.RegionName(request.GetRegion()),
+
+			InstanceAddress: request.GetAddress(),
 		},
 		CatalogVersion: request.GetCatalogVersion(),
 		Capacity:       int(request.GetCapacity()),
@@ -240,6 +247,8 @@
 			Address: p.Address,
 			Domain:  string(p.Domain),
 			Region:  string(p.Region),
+
+			InstanceAddress: p.InstanceAddress,
 		})
 	}
 }
--- a/internal/peer/instance/quota_requester_test.go
+++ b/internal/peer/instance/quota_requester_test.go
@@ -15,6 +15,7 @@
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
+	"rosemarylb/internal/traffic/quota"
 )
 
 // memoryStore is a store with one object. It also stands in for a promoter and for the
@@ -80,7 +81,8 @@
 	runner := keeperduty.NewRunner(keeper.NewKeeper("keeper", 1, address), c)
 	_, stop := runner.Start(store, store, store, duty.NewLatest(time.Time{}), duty.NewLatest(keeper.Notification{}))
 	t.Cleanup(stop)
-	t.Cleanup(ServeKeeper(listener, c, runner, func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{})))
+	t.Cleanup(ServeKeeper(listener, c, runner, func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{}),
+		func([]quota.Demand, chan<- quota.Reply) bool { return false }))
 	runner.Ring().Put(keeperduty.CatalogChanged{
 		Catalog: catalog,
 	})
--- a/internal/peer/instance/reserve.go
+++ b/internal/peer/instance/reserve.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// ReserveFromDeputy implements link.KeeperServer. It waits for the proxy, whose allowance
+// holds the standing rates.
+func (s *permitServer) ReserveFromDeputy(
+	ctx context.Context, request *link.ReserveRequest,
+) (*link.ReserveReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	replies := make(chan quota.Reply, 1)
+	if !s.onDeputyRequest(decodeReserveRequest(request).Demands, replies) {
+		return &link.ReserveReply{}, nil
+	}
+	select {
+	case reply := <-replies:
+		return encodeReserveReply(reply), nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "deputy")
+	}
+}
+
 func encodeReserveRequest(r quota.Request) *link.ReserveRequest {
 	m := &link.ReserveRequest{
 		From:         string(r.From),
@@ -50,6 +69,7 @@
 			Waiting:        uint32(d.Waiting),
 			RateMillis:     uint64(d.RateMillis),
 			StandingMillis: uint64(d.StandingMillis),
+			Deputy:         d.Deputy,
 		})
 	}
 	return m
@@ -69,6 +89,7 @@
 			Waiting:        decodeCount(d.GetWaiting()),
 			RateMillis:     int64(min(d.GetRateMillis(), maxRateMillis)),
 			StandingMillis: int64(min(d.GetStandingMillis(), maxRateMillis)),
+			Deputy:         d.GetDeputy(),
 		})
 	}
 	return r
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -183,6 +183,7 @@
 		instance.WithStoreReports(storeAnsweredAt, notification),
 		instance.WithKeeperAddress(keeperAddress)).Start())
 	i.addDuty(instance.NewQuotaRequester(i.clock, i.proxy, keeperAddress).Start())
+	i.addDuty(instance.NewDeputyRequester(i.clock, i.proxy).Start())
 	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
 	if err != nil {
 		return err
@@ -206,6 +207,15 @@
 	})
 }
 
+// offerDeputyRequest passes on a request to this instance as the deputy of teams. It
+// returns false if the proxy's ring is full.
+func (i *Instance) offerDeputyRequest(demands []quota.Demand, reply chan<- quota.Reply) bool {
+	return i.proxy.Ring().Offer(proxy.DeputyRequested{
+		Demands: demands,
+		Reply:   reply,
+	})
+}
+
 // offerCatalog returns a function that passes on a configuration from another instance.
 // One that meets a full ring is dropped, since the other instance sends it again.
 func (i *Instance) offerCatalog(source string) func(rosemarylb.Catalog) {
@@ -225,7 +235,7 @@
 		return errors.Wrap(err, "listen for instances")
 	}
 	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner,
-		i.offerCatalog("instance"), p.Meter))
+		i.offerCatalog("instance"), p.Meter, i.offerDeputyRequest))
 	readyListener, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
--- a/internal/traffic/proxy/owner.go
+++ b/internal/traffic/proxy/owner.go
@@ -37,6 +37,7 @@
 	for _, peer := range peers {
 		p.peersByRegion[peer.Region]++
 	}
+	p.updateDeputies()
 }
 
 // ownedConnections returns the number of connections that this instance owns, 0
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -160,6 +160,10 @@
 		p.share = e.Share
 	case KeeperChanged:
 		p.quotas.allowance = p.quotas.allowance.WithKeeperChanged()
+	case DeputyReplied:
+		p.applyDeputyReply(e, now)
+	case DeputyRequested:
+		p.answerDeputyRequest(e, now)
 	case QuotaReplied:
 		p.applyQuotaReply(e, now)
 	case ExplanationRequested:
@@ -252,6 +256,7 @@
 	}
 	p.catalog = e.Catalog
 	p.quotas.allowance = p.quotas.allowance.WithCatalog(e.Catalog)
+	p.updateDeputies()
 	waiting := p.waitingSessions
 	p.waitingSessions = nil
 	for _, w := range waiting {
--- a/internal/traffic/proxy/quota.go
+++ b/internal/traffic/proxy/quota.go
@@ -32,6 +32,13 @@
 	// waiting are the waiting queries of each team in the order of their arrival. Those
 	// whose session has ended are abandoned and removed by decideWaiting.
 	waiting map[rosemarylb.TeamName][]*pendingQuery
+	// deputies are the instances that grant tokens while the keeper does not answer, and
+	// silentDeputies those that did not answer, with the time until which they are not
+	// asked.
+	deputies       quota.Deputies
+	silentDeputies map[string]time.Time
+	deputyRequests *duty.Ring[DeputyRequest]
+	askingDeputy   bool
 	// standing is true while the standing rates are in force.
 	standing bool
 }
@@ -41,6 +48,9 @@
 		allowance: quota.NewAllowance("", 0),
 		requests:  duty.NewRing[quota.Request]("quota", quotaRequestCapacity),
 		waiting:   map[rosemarylb.TeamName][]*pendingQuery{},
+
+		silentDeputies: map[string]time.Time{},
+		deputyRequests: duty.NewRing[DeputyRequest]("quota-deputies", quotaRequestCapacity),
 	}
 }
 
@@ -200,4 +210,5 @@
 		a = a.WithoutReply(request.Sequence)
 	}
 	p.quotas.allowance = a
+	p.askDeputy(now)
 }
--- a/internal/traffic/quota/allowance.go
+++ b/internal/traffic/quota/allowance.go
@@ -58,6 +58,9 @@
 	holding bool
 	// reportDue is true until the present keeper has answered a request.
 	reportDue bool
+	// deputyTeams are the teams whose deputy this instance is.
+	deputyTeams   map[rosemarylb.TeamName]struct{}
+	askDeputiesAt time.Time
 }
 
 // NewAllowance returns the allowance of an instance that knows no configuration. The
@@ -243,18 +246,19 @@
 	for i := a.balances.Iterator(); !i.Done(); {
 		name, held, _ := i.Next()
 		b := held.withoutExpired(now)
-		if b.isIdle(now) {
+		if b.isIdle(now) && !a.isDeputy(rosemarylb.TeamName(name)) {
 			a.balances = a.balances.Delete(name)
 			continue
 		}
 		d := b.request(now)
 		d.Team = rosemarylb.TeamName(name)
+		d.Deputy = a.isDeputy(d.Team)
 		b.asked = b.waiting
 		a.balances = a.balances.Set(name, &b)
-		if d.Wanted == 0 && d.RateMillis == 0 && d.StandingMillis == 0 {
+		if d.Wanted == 0 && d.RateMillis == 0 && d.StandingMillis == 0 && !d.Deputy {
 			continue
 		}
-		a.holding = a.holding || d.RateMillis >= minStandingMillis || d.StandingMillis > 0
+		a.holding = a.holding || d.RateMillis >= minStandingMillis || d.StandingMillis > 0 || d.Deputy
 		a.inFlight = append(a.inFlight, d.Team)
 		r.Demands = append(r.Demands, d)
 	}
--- a/internal/traffic/quota/balance.go
+++ b/internal/traffic/quota/balance.go
@@ -110,13 +110,7 @@
 
 // withGrant applies the grant of a request that was sent at the given time.
 func (b balance) withGrant(g Grant, sentAt, now time.Time) balance {
-	b = b.withoutExpired(now)
-	if g.Tokens > 0 {
-		b.lots = append(append([]lot(nil), b.lots...), lot{
-			tokens:    g.Tokens,
-			expiresAt: sentAt.Add(tokenLifetime),
-		})
-	}
+	b = b.withTokens(g.Tokens, sentAt, now)
 	b.refusals = min(max(b.asked-g.Tokens-g.Held, 0), b.waiting)
 	b.asked = 0
 	b.retryAt = time.Time{}
@@ -130,6 +124,18 @@
 	return b
 }
 
+// withTokens adds tokens that were granted to a request sent at the given time.
+func (b balance) withTokens(n int, sentAt, now time.Time) balance {
+	b = b.withoutExpired(now)
+	if n > 0 {
+		b.lots = append(append([]lot(nil), b.lots...), lot{
+			tokens:    n,
+			expiresAt: sentAt.Add(tokenLifetime),
+		})
+	}
+	return b
+}
+
 // aheadTokens is the number of tokens to have in advance.
 func (b balance) aheadTokens(now time.Time) int {
 	n := int(b.demandNow(now) * aheadPeriod.Seconds())
--- a/internal/traffic/quota/ledger.go
+++ b/internal/traffic/quota/ledger.go
@@ -277,6 +277,10 @@
 		available = min(available, d.StandingMillis)
 	}
 	share := int64(float64(limit) * float64(d.RateMillis) / float64(max(b.demandMillis+d.RateMillis, 1)))
+	if d.Deputy {
+		// Other instances ask the deputy for what they have no standing rate for.
+		share = limit
+	}
 	standing := min(share, available)
 	if standing < minStandingMillis {
 		return 0
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -81,6 +81,9 @@
 	RateMillis int64
 	// StandingMillis is the standing rate that the instance holds, in the same unit.
 	StandingMillis int64
+	// Deputy is true if the instance grants the team's tokens while the keeper does not
+	// answer.
+	Deputy bool
 }
 
 // Reply is the keeper's reply to a Request.
--- a/member.go
+++ b/member.go
@@ -70,6 +70,8 @@
 	Region RegionName
 	// Domain is the failure domain of the instance, empty if unknown.
 	Domain DomainName
+	// InstanceAddress is the host:port for other instances, empty if unknown.
+	InstanceAddress string
 }
 
 // Overrides reports whether m replaces other: it has a later incarnation, or a
