--- a/internal/peer/instance/reserve_bench_test.go
+++ b/internal/peer/instance/reserve_bench_test.go
@@ -127,6 +127,7 @@
 		l.admitted++
 	case quota.Refuse:
 		l.refused++
+	default:
 	}
 }
 
--- a/internal/traffic/quota/ledger_test.go
+++ b/internal/traffic/quota/ledger_test.go
@@ -101,7 +101,7 @@
 	l, g := askLedger(l, "i", 1, Demand{
 		RateMillis: 50_000,
 	}, now)
-	l, g = askLedger(l, "i", 2, Demand{
+	_, g = askLedger(l, "i", 2, Demand{
 		Wanted:         1000,
 		RateMillis:     50_000,
 		StandingMillis: g.StandingMillis,
