Give no standing rates under an older configuration

A keeper that had not yet applied a lower limit gave instances that had applied it a share of the former one, valid for 3 s. Requests now carry the version of the instance's configuration.

--- a/internal/peer/instance/reserve.go
+++ b/internal/peer/instance/reserve.go
@@ -42,6 +42,8 @@
 		Process:      r.Process,
 		Sequence:     r.Sequence,
 		Acknowledged: r.Acknowledged,
+
+		CatalogVersion: r.CatalogVersion,
 	}
 	for _, d := range r.Demands {
 		m.Demands = append(m.Demands, &link.TeamDemand{
@@ -61,6 +63,8 @@
 		Process:      m.GetProcess(),
 		Sequence:     m.GetSequence(),
 		Acknowledged: m.GetAcknowledged(),
+
+		CatalogVersion: m.GetCatalogVersion(),
 	}
 	for _, d := range m.GetDemands() {
 		r.Demands = append(r.Demands, quota.Demand{
--- a/internal/traffic/quota/allowance.go
+++ b/internal/traffic/quota/allowance.go
@@ -249,6 +249,8 @@
 		Process:      a.process,
 		Sequence:     a.sequence,
 		Acknowledged: a.acknowledged,
+
+		CatalogVersion: a.catalog.Version,
 	}
 	for i := a.balances.Iterator(); !i.Done(); {
 		name, held, _ := i.Next()
--- a/internal/traffic/quota/ledger.go
+++ b/internal/traffic/quota/ledger.go
@@ -180,6 +180,10 @@
 		h, former = former.withHoldingTaken(string(d.Team))
 		var g Grant
 		l, m, g = l.withDemand(m, d, h, former.silent, now)
+		if r.CatalogVersion > l.catalog.Version {
+			// The later limit may be lower, and the instance does not cut this rate again.
+			g.StandingMillis = 0
+		}
 		reply.Grants = append(reply.Grants, g)
 	}
 	l = l.withoutHoldings(former.holdings, former.silent, now)
--- a/internal/traffic/quota/ledger_test.go
+++ b/internal/traffic/quota/ledger_test.go
@@ -110,3 +110,27 @@
 		t.Errorf("got %d tokens after a pause of 2 s, want %d", g.Tokens, want)
 	}
 }
+
+// TestOlderKeeperGivesNoStandingRate guards against a share of a former limit that an
+// instance gets after it has applied a lower one.
+func TestOlderKeeperGivesNoStandingRate(t *testing.T) {
+	now := time.Unix(100, 0)
+	for version, want := range map[uint64]int64{1: 90_000, 2: 0} {
+		_, reply := NewLedger(Tenure{
+			GrantsFrom: now,
+			First:      true,
+		}, rosemarylb.Catalog{
+			Version: 1,
+		}.WithTeams([]rosemarylb.Team{newTeam("team", 100, 100)})).WithRequest(Request{
+			Sequence:       1,
+			CatalogVersion: version,
+			Demands: []Demand{{
+				Team:       "team",
+				RateMillis: 1000,
+			}},
+		}, now)
+		if got := reply.Grants[0].StandingMillis; got != want {
+			t.Errorf("version %d: got a standing rate of %d, want %d", version, got, want)
+		}
+	}
+}
--- a/internal/traffic/quota/model_test.go
+++ b/internal/traffic/quota/model_test.go
@@ -37,6 +37,7 @@
 // limit is a team's limit from its publication until all have the next one.
 type limit struct {
 	team  rosemarylb.Team
+	from  time.Time
 	until time.Time
 }
 
@@ -106,25 +107,31 @@
 	return m
 }
 
-// configure publishes limits. The keeper has them at once, as it may have had them.
+// configure publishes limits. The keeper and the instances apply them within 2 s.
 func (m *model) configure(teams []rosemarylb.Team) {
-	m.catalog = rosemarylb.Catalog{
+	catalog := rosemarylb.Catalog{
 		Version: m.catalog.Version + 1,
 	}.WithTeams(teams)
+	m.catalog = catalog
 	for _, team := range teams {
 		if former := m.limits[team.Name]; len(former) > 0 {
-			former[len(former)-1].until = m.now
+			former[len(former)-1].until = m.now.Add(2 * time.Second)
 		}
 		m.limits[team.Name] = append(m.limits[team.Name], limit{
 			team:  team,
+			from:  m.now,
 			until: m.now.Add(time.Hour),
 		})
 	}
-	if m.keeper != nil {
-		m.keeper.ledger = m.keeper.ledger.WithCatalog(m.catalog, m.now)
-	}
+	m.after(m.between(0, 2000), func() {
+		m.keeper.ledger = m.keeper.ledger.WithCatalog(catalog, m.now)
+	})
 	for _, i := range m.instances {
-		i.allowance = i.allowance.WithCatalog(m.catalog)
+		m.after(m.between(0, 2000), func() {
+			if catalog.Supersedes(i.allowance.catalog) {
+				i.allowance = i.allowance.WithCatalog(catalog)
+			}
+		})
 	}
 }
 
@@ -289,13 +296,11 @@
 				first++
 			}
 			allowed := 0.0
-			from := time.Unix(0, 0)
 			for _, l := range m.limits[team] {
 				// Tokens of the former limit remain valid for tokenLifetime.
-				if !l.until.Add(tokenLifetime).Before(times[first]) && !from.After(at) {
+				if !l.until.Add(tokenLifetime).Before(times[first]) && !l.from.After(at) {
 					allowed = max(allowed, l.team.RatePerSecond*(window+tokenLifetime).Seconds()+burstOf(l.team))
 				}
-				from = l.until
 			}
 			if got := last - first + 1; float64(got) > allowed+1 {
 				m.t.Fatalf("seed %d: got %d operations of %s in the window that ends %s after the start, want at most %.0f",
@@ -380,8 +385,7 @@
 	}
 }
 
-// changeLimits lowers or raises the limits of all teams. The keeper and the instances
-// have them at once; the former limits are then valid for the operations before.
+// changeLimits lowers or raises the limits of all teams.
 func (m *model) changeLimits() {
 	factor := []float64{0.2, 0.5, 2, 4}[m.random.IntN(4)]
 	var teams []rosemarylb.Team
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -65,6 +65,8 @@
 	// Acknowledged is the sequence of the last request whose reply was applied, 0 for
 	// none.
 	Acknowledged uint64
+	// CatalogVersion is the version of the configuration that the instance has.
+	CatalogVersion uint64
 	// Demands holds every team for which the instance wants tokens or has a standing
 	// rate.
 	Demands []Demand
