--- a/internal/traffic/quota/ledger_test.go
+++ b/internal/traffic/quota/ledger_test.go
@@ -134,3 +134,57 @@
 		}
 	}
 }
+
+// TestStandingRateInUseIsSubtracted guards against tokens for the part of a team's rate
+// that an instance without answers uses by its standing rate.
+func TestStandingRateInUseIsSubtracted(t *testing.T) {
+	start := time.Unix(100, 0)
+	for _, c := range []struct {
+		name string
+		// sequences are those of the requests after the second one, every 100 ms.
+		sequences []uint64
+	}{
+		{"cut off", nil},
+		{"its replies are lost", []uint64{3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17}},
+		{"an earlier request arrives late", []uint64{0, 0, 0, 1}},
+	} {
+		l := NewLedger(Tenure{
+			GrantsFrom: start,
+			First:      true,
+		}, rosemarylb.Catalog{
+			Version: 1,
+		}.WithTeams([]rosemarylb.Team{newTeam("team", 100, 1000)}))
+		l, g := askLedger(l, "silent", 1, Demand{
+			RateMillis: 50_000,
+		}, start)
+		sequences := append([]uint64{2}, c.sequences...)
+		for at := time.Duration(0); at < 2*time.Second; at += 20 * time.Millisecond {
+			now := start.Add(at)
+			l = l.Advanced(now)
+			n := int(at/(100*time.Millisecond)) - 1
+			if at%(100*time.Millisecond) != 0 || n < 0 || n >= len(sequences) || sequences[n] == 0 {
+				continue
+			}
+			r := Request{
+				From:         "silent",
+				Sequence:     sequences[n],
+				Acknowledged: 1,
+			}
+			if r.Sequence > 1 {
+				r.Demands = []Demand{{
+					Team:           "team",
+					RateMillis:     50_000,
+					StandingMillis: g.StandingMillis,
+				}}
+			}
+			l, _ = l.WithRequest(r, now)
+		}
+		_, got := askLedger(l, "other", 1, Demand{
+			Wanted: 1000,
+		}, start.Add(2*time.Second))
+		// 100 a second for acknowledgeTimeout at most, then 10 a second.
+		if got.Tokens < 45 || got.Tokens > 69 {
+			t.Errorf("%s: got %d tokens after 2 s, want 45 to 69", c.name, got.Tokens)
+		}
+	}
+}
