--- a/internal/traffic/quota/allowance.go
+++ b/internal/traffic/quota/allowance.go
@@ -74,8 +74,10 @@
 }
 
 // WithCatalog applies a configuration. The tokens of teams without a quota are
-// dropped.
+// dropped, and the standing rates of teams with a lower one fall with it: the keeper may
+// be silent until they expire.
 func (a Allowance) WithCatalog(c rosemarylb.Catalog) Allowance {
+	former := a.catalog
 	a.catalog = c
 	a.limitsAny = false
 	for t := range c.Teams() {
@@ -86,6 +88,14 @@
 		if !a.limits(rosemarylb.TeamName(name)) {
 			a.waiting -= b.waiting
 			a.balances = a.balances.Delete(name)
+			continue
+		}
+		before, _ := former.Team(rosemarylb.TeamName(name))
+		after, _ := c.Team(rosemarylb.TeamName(name))
+		if rateOf(after) < rateOf(before) {
+			lower := *b
+			lower.standingMillis = int64(float64(b.standingMillis) * rateOf(after) / rateOf(before))
+			a.balances = a.balances.Set(name, &lower)
 		}
 	}
 	return a
@@ -242,6 +252,8 @@
 		Process:      a.process,
 		Sequence:     a.sequence,
 		Acknowledged: a.acknowledged,
+
+		CatalogVersion: a.catalog.Version,
 	}
 	for i := a.balances.Iterator(); !i.Done(); {
 		name, held, _ := i.Next()
