--- a/internal/process/shape/shape_test.go
+++ b/internal/process/shape/shape_test.go
@@ -157,6 +157,7 @@
 	"internal/peer/endpoint.ConnectionHandler": true,
 	"internal/peer/instance.Receiver":          true,
 	"internal/peer/caller.Dispatcher":          true,
+	"internal/process/stream.Handler":          true,
 }
 
 func TestBehaviourInterfacesAreInRootPackage(t *testing.T) {
