Close callers that do not read their answers

gnet queues asynchronous writes without bound. What waits for the event loop and for the peer now counts in the account of the connection, and is measured again every 20 ms while a peer has not read everything, so that a slow reader is not closed for what it has read since. A payload for a connection that is being closed is dropped.

--- a/internal/process/stream/conn.go
+++ b/internal/process/stream/conn.go
@@ -1,6 +1,8 @@
 package stream
 
 import (
+	"sync/atomic"
+
 	"rosemarylb/internal/process/budget"
 
 	"github.com/panjf2000/gnet/v2"
@@ -17,6 +19,10 @@
 	release func()
 	// used is true once the peer has sent a request. It belongs to the event loop.
 	used bool
+	// queued is the number of bytes that the event loop has not taken yet, buffered
+	// the number that it had not sent when it last looked.
+	queued   atomic.Int64
+	buffered atomic.Int64
 }
 
 // Account returns the account of the connection.
@@ -47,15 +53,26 @@
 	delete(c.server.unused, c)
 }
 
-// Write sends a payload.
+// Write sends a payload. It drops the payload if the connection is to be closed
+// because its peer does not read.
 func (c *Conn) Write(payload []byte) {
-	_ = c.conn.AsyncWrite(payload, nil)
+	size := int64(len(payload))
+	c.queued.Add(size)
+	if !c.count() {
+		c.queued.Add(-size)
+		return
+	}
+	_ = c.conn.AsyncWrite(payload, func(conn gnet.Conn, err error) error {
+		c.queued.Add(-size)
+		return c.measure(conn, err)
+	})
 }
 
 // WriteInLoop sends a payload from a method of the handler, before the connection may
 // be closed.
 func (c *Conn) WriteInLoop(payload []byte) {
 	_, _ = c.conn.Write(payload)
+	_ = c.measure(c.conn, nil)
 }
 
 // WriteAndClose sends a payload and closes the connection after it.
@@ -70,3 +87,33 @@
 func (c *Conn) Close() {
 	c.WriteAndClose(nil)
 }
+
+// count updates the account. It returns false if the connection is to be closed.
+func (c *Conn) count() bool {
+	return c.account.Set(budget.KindOutput, c.queued.Load()+c.buffered.Load())
+}
+
+// measure updates the account on the event loop.
+func (c *Conn) measure(conn gnet.Conn, err error) error {
+	if err != nil {
+		return nil
+	}
+	buffered := int64(conn.OutboundBuffered())
+	before := c.buffered.Swap(buffered)
+	if (before > 0) != (buffered > 0) {
+		c.server.setUnread(c, buffered > 0)
+	}
+	c.count()
+	return nil
+}
+
+// setUnread records whether the peer has to read before more can be sent.
+func (s *Server) setUnread(c *Conn, unread bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.open[c]; open && unread {
+		s.unread[c] = struct{}{}
+		return
+	}
+	delete(s.unread, c)
+}
--- a/internal/process/stream/server.go
+++ b/internal/process/stream/server.go
@@ -1,9 +1,11 @@
-// Package stream runs the connections of a front end on event loops, and limits their
-// number.
+// Package stream runs the connections of a front end on event loops. It limits the
+// number of connections, and counts the bytes that wait to be sent in a budget.
 package stream
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +21,10 @@
 	// readBufferBytes is the size of one read from a socket. Between two turns of an
 	// event loop, each connection can add this much to what is held.
 	readBufferBytes = 16 << 10
-	// idleInterval is the time between two ticks.
+	// measureInterval is the time between two measurements of the bytes that a slow
+	// reader has not taken.
+	measureInterval = 20 * time.Millisecond
+	// idleInterval is the time between two ticks while all peers read.
 	idleInterval = 250 * time.Millisecond
 	// greetingTimeout is the time that a connection has until its greeting, by which
 	// an idle connection differs from a session. It is longer than the time-outs of
@@ -55,8 +60,9 @@
 	listener net.Listener
 	client   *gnet.Client
 
-	mu   sync.Mutex // guards the fields below
-	open map[*Conn]struct{}
+	mu     sync.Mutex // guards the fields below
+	open   map[*Conn]struct{}
+	unread map[*Conn]struct{}
 	// unused are the connections that have sent no request.
 	unused map[*Conn]unusedState
 }
@@ -77,6 +83,7 @@
 		handler: h,
 		budget:  b,
 		open:    map[*Conn]struct{}{},
+		unread:  map[*Conn]struct{}{},
 		unused:  map[*Conn]unusedState{},
 	}
 	listener, err := net.Listen("tcp", address)
@@ -170,6 +177,7 @@
 	}
 	s.mu.Lock()
 	delete(s.open, c)
+	delete(s.unread, c)
 	delete(s.unused, c)
 	s.mu.Unlock()
 	s.handler.Closed(c)
@@ -191,10 +199,12 @@
 	return gnet.None
 }
 
-// OnTick implements gnet.EventHandler. It closes connections without a greeting.
+// OnTick implements gnet.EventHandler. It measures what slow readers have not taken,
+// and closes connections without a greeting.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
 	now := time.Now()
 	s.mu.Lock()
+	unread := slices.Collect(maps.Keys(s.unread))
 	var silent []*Conn
 	for c, state := range s.unused {
 		if !state.greeted && now.After(state.openedAt.Add(greetingTimeout)) {
@@ -203,11 +213,17 @@
 		}
 	}
 	s.mu.Unlock()
+	for _, c := range unread {
+		_ = c.conn.AsyncWrite(nil, c.measure)
+	}
 	for _, c := range silent {
 		closedByGreeting.Inc()
 		_ = c.conn.Close()
 	}
-	return idleInterval, gnet.None
+	if len(unread) == 0 {
+		return idleInterval, gnet.None
+	}
+	return measureInterval, gnet.None
 }
 
 // closeUnused closes the oldest connection that has sent no request, to make room for
