Limit the clients of the HTTP servers

The servers for readiness, metrics and operators took any number of connections and headers of up to 1 MiB, and kept idle connections for ever.

--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -12,7 +13,9 @@
 
 	"rosemarylb"
 	"rosemarylb/internal/peer/instance"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/stream"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -22,8 +25,6 @@
 	// dumpTimeout bounds the wait for the report of one duty. A duty that calls
 	// the platform reports only between two calls.
 	dumpTimeout = 200 * time.Millisecond
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 2 * time.Second
 )
 
 // Dump is the state of an instance and its duties, encoded as JSON.
@@ -60,6 +61,7 @@
 	view    *duty.Latest[rosemarylb.View]
 	duties  []*duty.Duty
 	drain   func()
+	pool    *budget.Pool
 }
 
 // Option configures a server.
@@ -72,6 +74,13 @@
 	}
 }
 
+// WithPool sets the pool that limits the connections.
+func WithPool(p *budget.Pool) Option {
+	return func(s *Server) {
+		s.pool = p
+	}
+}
+
 // WithDrain sets the function that starts a graceful shutdown.
 func WithDrain(drain func()) Option {
 	return func(s *Server) {
@@ -95,6 +104,7 @@
 		self:  self,
 		view:  view,
 		drain: func() {},
+		pool:  budget.NewPool(0, slog.Default()),
 	}
 	for _, o := range options {
 		o(s)
@@ -106,17 +116,7 @@
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("POST /drain", s.startDrain)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	server := &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: headerTimeout,
-	}
-	wait := duty.Spawn(func() {
-		_ = server.Serve(listener)
-	})
-	return func() {
-		_ = server.Close()
-		wait()
-	}
+	return stream.ServeHTTP(listener, budget.ServerOperators, s.pool, mux)
 }
 
 func (s *Server) dump(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -14,8 +14,10 @@
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/fleet/registry"
 	"rosemarylb/internal/peer/instance"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/stream"
 	"rosemarylb/internal/traffic/proxy"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,8 +34,6 @@
 	// drainFlushTime is the time after the end of a drain in which the last answers are
 	// sent.
 	drainFlushTime = 150 * time.Millisecond
-	// readHeaderTimeout is the maximum time to read the header of an HTTP request.
-	readHeaderTimeout = 2 * time.Second
 )
 
 // Identity is the identity of an instance and the addresses it listens on.
@@ -75,6 +75,8 @@
 	// SetEndpointSink and SetProbeSink set the sinks that receive the events of
 	// Endpoints and Probes.
 	SetEndpointSink, SetProbeSink func(rosemarylb.EndpointSink)
+	// Pool limits the connections that the process accepts.
+	Pool *budget.Pool
 	// Store holds the keeper's record.
 	Store rosemarylb.Store
 	// Directory provides the endpoints and the configuration.
@@ -130,7 +132,7 @@
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
 	p.SetProbeSink(i.keeperRunner)
-	if err := i.startServers(id); err != nil {
+	if err := i.startServers(id, p); err != nil {
 		return err
 	}
 	i.addDuty(i.proxy.Start(i.clock))
@@ -177,7 +179,7 @@
 
 // startServers starts the servers for other instances, readiness checks, and
 // metrics and dumps.
-func (i *Instance) startServers(id Identity) error {
+func (i *Instance) startServers(id Identity, p Peers) error {
 	instanceListener, err := net.Listen("tcp", id.InstanceAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
@@ -189,7 +191,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", i.handleReady)
-	i.cleanups = append(i.cleanups, serveHTTP(readyListener, mux))
+	i.cleanups = append(i.cleanups, stream.ServeHTTP(readyListener, budget.ServerReady, p.Pool, mux))
 	metricsListener, err := net.Listen("tcp", id.MetricsAddress)
 	if err != nil {
 		i.log.Warn("metrics and dumps unavailable: listen failed", "address", id.MetricsAddress, "error", err)
@@ -200,25 +202,10 @@
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", i.handleDump)
-	i.cleanups = append(i.cleanups, serveHTTP(metricsListener, mux))
+	i.cleanups = append(i.cleanups, stream.ServeHTTP(metricsListener, budget.ServerOperators, p.Pool, mux))
 	return nil
 }
 
-// serveHTTP serves HTTP on a listener. The returned function closes the server.
-func serveHTTP(l net.Listener, h http.Handler) func() {
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
-	wait := duty.Spawn(func() {
-		_ = s.Serve(l)
-	})
-	return func() {
-		_ = s.Close()
-		wait()
-	}
-}
-
 // handleReady responds with status 503 while the proxy is not ready.
 func (i *Instance) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !i.proxy.Status().Load().Ready {
--- a/internal/process/service/instance.go
+++ b/internal/process/service/instance.go
@@ -15,6 +15,7 @@
 	"rosemarylb/internal/peer/instance"
 	"rosemarylb/internal/peer/operator"
 	"rosemarylb/internal/peer/platform"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/traffic/placement"
 	"rosemarylb/internal/traffic/route"
@@ -38,6 +39,10 @@
 	OperatorAddress string
 	// EventLoops is the number of event loops for callers, and of those for endpoints.
 	EventLoops int
+	// MemoryMegabytes is the memory that the process may use, in MiB, and
+	// MaxDescriptors the number of descriptors. 0 stands for the defaults of package
+	// budget.
+	MemoryMegabytes, MaxDescriptors int64
 	// Version is the version of the program.
 	Version string
 }
@@ -45,6 +50,7 @@
 // Instance is a running instance.
 type Instance struct {
 	settings         Settings
+	pool             *budget.Pool
 	log              *slog.Logger
 	sessionManager   *caller.SessionManager
 	server           *caller.Server
@@ -85,6 +91,7 @@
 	for _, o := range options {
 		o(i)
 	}
+	i.pool = budget.NewPool(s.MaxDescriptors, i.log)
 	if err := i.start(store); err != nil {
 		i.runCleanups()
 		return nil, nil, err
@@ -161,6 +168,7 @@
 	i.addCleanup(operator.Serve(i.operatorListener, i.settings.ID, i.view,
 		operator.WithDuties(append(duties, platformDuties...)),
 		operator.WithVersion(i.settings.Version),
+		operator.WithPool(i.pool),
 		operator.WithDrain(i.requestDrain)))
 	return nil
 }
