Limit what instances send to the gRPC servers

The servers for other instances took any number of connections and of calls at a time, each with a message of up to 4 MiB (20 MiB between PostgreSQL front ends). They now take connections from the pool, 16 calls at a time on each, and count in the budget what a connection has received since its last message was decoded, so that the connection that holds most is closed.

--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -9,6 +9,7 @@
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/message/link"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
 
 	"github.com/cockroachdb/errors"
@@ -27,17 +28,18 @@
 	witness *keeperduty.Witness
 }
 
-// ServeKeeper serves the permit requests of other instances on a listener. The
-// returned function stops the server and waits for it to end.
-func ServeKeeper(listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner) func() {
-	s := grpc.NewServer()
+// ServeKeeper serves the permit requests of other instances on a listener. What it
+// receives counts in b. The returned function stops the server and waits for it to end.
+func ServeKeeper(listener net.Listener, b *budget.Budget, clock rosemarylb.Clock, k *keeperduty.Runner) func() {
+	counted, options := newInboundListener(listener, b)
+	s := grpc.NewServer(options...)
 	link.RegisterKeeperServer(s, &permitServer{
 		clock:   clock,
 		ring:    k.Ring(),
 		witness: k.Witness(),
 	})
 	wait := duty.Spawn(func() {
-		_ = s.Serve(listener)
+		_ = s.Serve(counted)
 	})
 	return func() {
 		s.Stop()
--- a/internal/peer/instance/server.go
+++ b/internal/peer/instance/server.go
@@ -6,6 +6,7 @@
 
 	"rosemarylb"
 	"rosemarylb/internal/message/link"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -43,18 +44,19 @@
 	receiver Receiver
 }
 
-// Serve accepts the streams of other instances on a listener. The returned
-// function stops the server and waits for it to end.
-func Serve(listener net.Listener, r Receiver) func() {
-	s := grpc.NewServer(
+// Serve accepts the streams of other instances on a listener. What it receives counts
+// in b. The returned function stops the server and waits for it to end.
+func Serve(listener net.Listener, b *budget.Budget, r Receiver) func() {
+	counted, options := newInboundListener(listener, b)
+	s := grpc.NewServer(append(options,
 		grpc.InitialWindowSize(flowWindowBytes),
 		grpc.InitialConnWindowSize(flowWindowBytes),
-		grpc.MaxRecvMsgSize(maxEnvelopeBytes))
+		grpc.MaxRecvMsgSize(maxEnvelopeBytes))...)
 	link.RegisterLinkServer(s, &server{
 		receiver: r,
 	})
 	wait := duty.Spawn(func() {
-		_ = s.Serve(listener)
+		_ = s.Serve(counted)
 	})
 	return func() {
 		s.Stop()
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -77,6 +77,8 @@
 	SetEndpointSink, SetProbeSink func(rosemarylb.EndpointSink)
 	// Pool limits the connections that the process accepts.
 	Pool *budget.Pool
+	// Budget counts the bytes that the process holds for callers and other instances.
+	Budget *budget.Budget
 	// Store holds the keeper's record.
 	Store rosemarylb.Store
 	// Directory provides the endpoints and the configuration.
@@ -184,7 +186,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner))
+	i.cleanups = append(i.cleanups, instance.ServeKeeper(
+		stream.LimitListener(instanceListener, budget.ServerInstances, p.Pool), p.Budget, i.clock, i.keeperRunner))
 	readyListener, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
--- a/internal/process/service/instance.go
+++ b/internal/process/service/instance.go
@@ -17,6 +17,7 @@
 	"rosemarylb/internal/peer/platform"
 	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/stream"
 	"rosemarylb/internal/traffic/placement"
 	"rosemarylb/internal/traffic/route"
 
@@ -51,6 +52,7 @@
 type Instance struct {
 	settings         Settings
 	pool             *budget.Pool
+	budget           *budget.Budget
 	log              *slog.Logger
 	sessionManager   *caller.SessionManager
 	server           *caller.Server
@@ -92,6 +94,7 @@
 		o(i)
 	}
 	i.pool = budget.NewPool(s.MaxDescriptors, i.log)
+	i.budget = budget.NewBudget(budget.HeldBytes(s.MemoryMegabytes), i.log)
 	if err := i.start(store); err != nil {
 		i.runCleanups()
 		return nil, nil, err
@@ -155,7 +158,7 @@
 	duties = append(duties,
 		i.startDuty(i.fleet.Start), i.startDuty(owner.Start), i.startDuty(watcher.Start),
 		i.startDuty(i.sessionManager.Start))
-	i.addCleanup(instance.Serve(instanceListener, receiver{
+	i.addCleanup(instance.Serve(stream.LimitListener(instanceListener, budget.ServerInstances, i.pool), i.budget, receiver{
 		dispatcher: d,
 	}))
 	i.server, err = i.listenForCallers()
