Bound what the PostgreSQL front end holds for its callers

The front end took any number of connections, kept up to 256 pipelined requests of up to 16 MiB for each, any size of prepared statements, and queued replies without bound. It now runs on package stream, with connections from the pool, and counts unfinished messages, requests until their replies (their payload twice), prepared statements and unread replies in the account of the connection. Input is consumed from gnet's buffer, and a request is no longer kept after its reply.

--- a/internal/peer/caller/decoder.go
+++ b/internal/peer/caller/decoder.go
@@ -96,6 +96,27 @@
 	// sqlState and reason are the error of kindReject.
 	sqlState string
 	reason   string
+	// bytes is what the command counts in the budget until it is answered.
+	bytes int64
+}
+
+const (
+	// commandOverhead is the size of a command, and statementOverhead that of a
+	// prepared statement, beside their texts, in bytes.
+	commandOverhead   = 512
+	statementOverhead = 256
+	// payloadCopies is the number of copies of a request's payload: the request and
+	// the message for an endpoint or another instance.
+	payloadCopies = 2
+)
+
+// size returns the number of bytes that are held for the command.
+func (c command) size() int64 {
+	size := commandOverhead + payloadCopies*len(c.request.Payload)
+	for _, text := range c.request.Texts {
+		size += len(text)
+	}
+	return int64(size)
 }
 
 // decoder turns a caller's messages into commands and keeps the session's
@@ -103,6 +124,8 @@
 type decoder struct {
 	// prepared maps the caller's statement names to the statements.
 	prepared *immutable.Map[string, rosemarylb.Statement]
+	// stateBytes is the size of the prepared statements.
+	stateBytes int64
 
 	// The fields below describe the extended request that is being received.
 	payload            []byte
@@ -218,11 +241,26 @@
 		Query:          strings.Clone(p.Query),
 		ParameterTypes: append([]uint32(nil), p.ParameterOIDs...),
 	}
+	d.forget(p.Name)
 	d.prepared = d.prepared.Set(p.Name, s)
+	d.stateBytes += statementBytes(p.Name, s)
 	d.requireStatement(s)
 	return d.appendPlaceholder(typeParseComplete)
 }
 
+// forget removes a prepared statement, if there is one of this name.
+func (d *decoder) forget(name string) {
+	if s, found := d.prepared.Get(name); found {
+		d.stateBytes -= statementBytes(name, s)
+		d.prepared = d.prepared.Delete(name)
+	}
+}
+
+// statementBytes returns the number of bytes that are held for a prepared statement.
+func statementBytes(name string, s rosemarylb.Statement) int64 {
+	return int64(len(name) + len(s.Query) + statementOverhead)
+}
+
 // appendPlaceholder adds a Close of a statement that does not exist, in place of
 // a message that the endpoint must not receive. restoreReplyTypes replaces the
 // type of its reply by the expected one.
@@ -296,7 +334,7 @@
 		return errors.Wrap(errMalformed, "close")
 	}
 	if c.ObjectType == 'S' {
-		d.prepared = d.prepared.Delete(c.Name)
+		d.forget(c.Name)
 		return d.appendPlaceholder(typeCloseComplete)
 	}
 	d.closeCompleteTypes = append(d.closeCompleteTypes, typeCloseComplete)
--- a/internal/peer/caller/event.go
+++ b/internal/peer/caller/event.go
@@ -1,23 +1,11 @@
 package caller
 
 import (
-	"context"
 	"time"
 
 	"rosemarylb"
-
-	"github.com/panjf2000/gnet/v2"
 )
 
-// stopTimeout bounds the shutdown of the event loops.
-const stopTimeout = 2 * time.Second
-
-func stopEngine(e gnet.Engine) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	_ = e.Stop(ctx)
-}
-
 // Event is an event of the duty that manages sessions.
 type Event interface {
 	sessionEvent()
--- a/internal/peer/caller/outcome.go
+++ b/internal/peer/caller/outcome.go
@@ -69,6 +69,8 @@
 	delete(sm.inFlight, s.ID())
 	requestSeconds[r.Rank].Update(now.Sub(r.ArrivedAt).Seconds())
 	sm.reply(c, r, action)
+	c.socket.release(c.currentCommand)
+	c.currentCommand = command{}
 	sm.startPipelined(c, now)
 }
 
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -4,13 +4,13 @@
 	"encoding/binary"
 	"strings"
 	"sync/atomic"
-	"time"
 
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/stream"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/panjf2000/gnet/v2"
 )
 
 const (
@@ -24,63 +24,43 @@
 	cancelRequestCode = 80877102
 	sslRequestCode    = 80877103
 	gssEncRequestCode = 80877104
-	// listenTimeout bounds the start of the event loops.
-	listenTimeout = 5 * time.Second
-	// listenPollInterval is the time between checks whether they have started.
-	listenPollInterval = time.Millisecond
+	// keptBufferBytes is the size up to which the buffer of a socket is kept for the
+	// next message.
+	keptBufferBytes = 16 << 10
 )
 
-// socket is the connection of a caller. Only its event loop uses started and
+// socket is the connection of a caller. Only its event loop uses started, buffer and
 // decoder.
 type socket struct {
-	conn    gnet.Conn
+	conn    *stream.Conn
 	started bool
+	// buffer is the beginning of a message whose end has not arrived.
+	buffer  []byte
 	decoder *decoder
 }
 
 // Server accepts the callers' connections and runs the event loops that decode
-// their messages.
+// their messages. It implements stream.Handler.
 type Server struct {
-	gnet.BuiltinEventEngine
-
-	engine      gnet.Engine
-	booted      atomic.Bool
 	accepting   atomic.Bool
 	events      *duty.Ring[Event]
 	connections atomic.Int64
 }
 
 // Listen starts event loops on an address such as 127.0.0.1:6432 and sends their
-// events to sessions. The returned function stops them and closes the
+// events to sessions. It accepts the connections that the pool allows; what is held
+// for them counts in the budget. The returned function stops the loops and closes the
 // connections.
-func Listen(address string, loops int, sessions *SessionManager) (*Server, func(), error) {
+func Listen(address string, loops int, sessions *SessionManager, p *budget.Pool, b *budget.Budget) (*Server, func(), error) {
 	s := &Server{
 		events: sessions.Ring(),
 	}
 	s.accepting.Store(true)
-	failed := make(chan error, 1)
-	wait := duty.Spawn(func() {
-		failed <- gnet.Run(s, "tcp://"+address,
-			gnet.WithNumEventLoop(loops),
-			gnet.WithReuseAddr(true),
-			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-			gnet.WithLogger(duty.DiscardLogger{}))
-	})
-	deadline := time.Now().Add(listenTimeout)
-	for !s.booted.Load() {
-		select {
-		case err := <-failed:
-			return nil, nil, errors.Wrapf(err, "listen on %s", address)
-		case <-time.After(listenPollInterval):
-		}
-		if time.Now().After(deadline) {
-			return nil, nil, errors.Newf("listen on %s: no answer of the event loops", address)
-		}
+	stop, err := stream.Listen(address, budget.ServerCallers, loops, p, b, s)
+	if err != nil {
+		return nil, nil, err
 	}
-	return s, func() {
-		stopEngine(s.engine)
-		wait()
-	}, nil
+	return s, stop, nil
 }
 
 // OpenConnections returns the number of open connections of callers.
@@ -93,30 +73,23 @@
 	s.accepting.Store(false)
 }
 
-// OnBoot implements gnet.EventHandler.
-func (s *Server) OnBoot(e gnet.Engine) gnet.Action {
-	s.engine = e
-	s.booted.Store(true)
-	return gnet.None
-}
-
-// OnOpen implements gnet.EventHandler.
-func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+// Open implements stream.Handler.
+func (s *Server) Open(c *stream.Conn) {
 	if !s.accepting.Load() {
-		return nil, gnet.Close
+		c.Close()
+		return
 	}
 	s.connections.Add(1)
-	c.SetContext(&socket{
+	c.Session = &socket{
 		conn: c,
-	})
-	return nil, gnet.None
+	}
 }
 
-// OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
-	sock, isSocket := c.Context().(*socket)
+// Closed implements stream.Handler.
+func (s *Server) Closed(c *stream.Conn) {
+	sock, isSocket := c.Session.(*socket)
 	if !isSocket {
-		return gnet.None
+		return
 	}
 	s.connections.Add(-1)
 	if sock.started {
@@ -124,31 +97,68 @@
 			socket: sock,
 		})
 	}
-	return gnet.None
 }
 
-// OnTraffic implements gnet.EventHandler.
-func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
-	sock, isSocket := c.Context().(*socket)
+// Receive implements stream.Handler.
+func (s *Server) Receive(c *stream.Conn, data []byte) bool {
+	sock, isSocket := c.Session.(*socket)
 	if !isSocket {
-		return gnet.Close
+		return false
+	}
+	input := data
+	if len(sock.buffer) > 0 {
+		sock.append(data)
+		input = sock.buffer
 	}
+	rest := input
 	for {
-		buffer, err := c.Peek(c.InboundBuffered())
-		if err != nil {
-			return gnet.Close
+		size, open := s.handleMessage(sock, rest)
+		if !open {
+			return false
 		}
-		size, action := s.handleMessage(sock, buffer)
-		if size == 0 || action != gnet.None {
-			return action
+		if size == 0 {
+			break
 		}
-		_, _ = c.Discard(size)
+		rest = rest[size:]
 	}
+	sock.keep(rest, len(rest) == len(input))
+	return c.Account().Set(budget.KindInput, sock.heldBytes())
+}
+
+// append adds input to the buffer, and doubles the buffer if it is full.
+func (s *socket) append(data []byte) {
+	if needed := len(s.buffer) + len(data); needed > cap(s.buffer) {
+		grown := make([]byte, len(s.buffer), max(needed, 2*cap(s.buffer)))
+		copy(grown, s.buffer)
+		s.buffer = grown
+	}
+	s.buffer = append(s.buffer, data...)
+}
+
+// keep keeps the beginning of a message for the next input. Unused is true if the
+// input completed no message.
+func (s *socket) keep(rest []byte, unused bool) {
+	if unused && len(s.buffer) > 0 {
+		return
+	}
+	if cap(s.buffer) > keptBufferBytes {
+		s.buffer = nil
+	}
+	s.buffer = append(s.buffer[:0], rest...)
+}
+
+// heldBytes returns the number of bytes held for input that is not a command yet.
+func (s *socket) heldBytes() int64 {
+	held := int64(cap(s.buffer))
+	if s.decoder != nil {
+		held += int64(cap(s.decoder.payload))
+	}
+	return held
 }
 
 // handleMessage handles the first message of a buffer and returns its size in
-// bytes, 0 while it is incomplete.
-func (s *Server) handleMessage(sock *socket, buffer []byte) (int, gnet.Action) {
+// bytes, 0 while it is incomplete, and false if the connection must be closed.
+func (s *Server) handleMessage(sock *socket, buffer []byte) (int, bool) {
 	if !sock.started {
 		return s.handleStartup(sock, buffer)
 	}
@@ -157,55 +167,62 @@
 		return 0, sock.closeWithError(err)
 	}
 	if m == nil {
-		return 0, gnet.None
+		return 0, true
 	}
 	c, complete, err := sock.decoder.decode(m)
 	if err != nil {
 		return 0, sock.closeWithError(err)
 	}
-	if complete && c.kind == kindTerminate {
-		return len(m), gnet.Close
+	if !sock.conn.Account().Set(budget.KindState, sock.decoder.stateBytes) || complete && c.kind == kindTerminate {
+		return len(m), false
 	}
 	if complete {
+		sock.conn.Used()
+		c.bytes = c.size()
+		if !sock.conn.Account().Add(budget.KindQueries, c.bytes) {
+			return len(m), false
+		}
 		s.events.Put(requestReceived{
 			socket:  sock,
 			command: c,
 		})
 	}
-	return len(m), gnet.None
+	return len(m), true
 }
 
-// closeWithError sends the caller an error and closes its connection.
-func (s *socket) closeWithError(err error) gnet.Action {
+// closeWithError sends the caller an error. It returns false, as the connection must be
+// closed.
+func (s *socket) closeWithError(err error) bool {
 	sqlState := sqlStateProtocolViolation
 	if errors.Is(err, errTooLarge) {
 		sqlState = sqlStateProgramLimitExceeded
 	}
-	_, _ = s.conn.Write(encode(errorResponse(sqlState, err.Error())))
-	return gnet.Close
+	s.conn.WriteInLoop(encode(errorResponse(sqlState, err.Error())))
+	return false
 }
 
 // handleStartup handles a message before the session has started. It returns the
-// message's size in bytes, 0 while it is incomplete.
-func (s *Server) handleStartup(sock *socket, buffer []byte) (int, gnet.Action) {
+// message's size in bytes, 0 while it is incomplete, and false if the connection must
+// be closed.
+func (s *Server) handleStartup(sock *socket, buffer []byte) (int, bool) {
 	if len(buffer) < startupLengthBytes*2 {
-		return 0, gnet.None
+		return 0, true
 	}
 	length := int(binary.BigEndian.Uint32(buffer))
 	if length < startupLengthBytes*2 || length > maxStartupBytes {
 		return 0, sock.closeWithError(errors.Wrap(errMalformed, "start-up"))
 	}
 	if len(buffer) < length {
-		return 0, gnet.None
+		return 0, true
 	}
 	body := buffer[startupLengthBytes:length]
 	switch binary.BigEndian.Uint32(body) {
 	case sslRequestCode, gssEncRequestCode:
-		_, _ = sock.conn.Write([]byte{'N'})
-		return length, gnet.None
+		sock.conn.WriteInLoop([]byte{'N'})
+		return length, true
 	case cancelRequestCode:
 		s.handleCancelRequest(body)
-		return length, gnet.Close
+		return length, false
 	default:
 		return length, s.handleLogin(sock, body)
 	}
@@ -222,12 +239,13 @@
 	})
 }
 
-func (s *Server) handleLogin(sock *socket, body []byte) gnet.Action {
+func (s *Server) handleLogin(sock *socket, body []byte) bool {
 	var m pgproto3.StartupMessage
 	if err := m.Decode(body); err != nil {
 		return sock.closeWithError(errors.Wrap(errMalformed, "start-up"))
 	}
 	sock.started = true
+	sock.conn.Greeted()
 	sock.decoder = newDecoder()
 	s.events.Put(sessionOpened{
 		socket:   sock,
@@ -235,7 +253,7 @@
 		database: m.Parameters["database"],
 		floor:    floorOption(m.Parameters),
 	})
-	return gnet.None
+	return true
 }
 
 // floorOption returns the floor that the start-up parameters set, as a parameter
--- a/internal/peer/caller/session_manager.go
+++ b/internal/peer/caller/session_manager.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarylb"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/traffic/placement"
 	"rosemarylb/internal/traffic/retry"
@@ -194,12 +195,12 @@
 	name := rosemarylb.DatabaseName(event.database)
 	if _, found := v.ServiceConfig.Database(name); !found {
 		write(event.socket, encode(errorResponse(sqlStateInvalidCatalogName, "database \""+event.database+"\" does not exist")))
-		_ = event.socket.conn.Close()
+		event.socket.conn.Close()
 		return
 	}
 	if sm.draining {
 		write(event.socket, encode(errorResponse(sqlStateAdminShutdown, "not run: the instance shuts down")))
-		_ = event.socket.conn.Close()
+		event.socket.conn.Close()
 		return
 	}
 	sm.lastSession++
@@ -232,7 +233,7 @@
 
 // write queues a payload for a socket's event loop, which sends it.
 func write(sock *socket, payload []byte) {
-	_ = sock.conn.AsyncWrite(payload, nil)
+	sock.conn.Write(payload)
 }
 
 func (sm *SessionManager) handleRequest(event requestReceived, now time.Time) {
@@ -247,7 +248,7 @@
 	}
 	if len(c.pipelined) >= pipelineLimit {
 		write(c.socket, encode(errorResponse(sqlStateInsufficientResources, "not run: too many requests in one pipeline")))
-		_ = c.socket.conn.Close()
+		c.socket.conn.Close()
 		return
 	}
 	c.pipelined = append(c.pipelined, event.command)
@@ -271,17 +272,30 @@
 
 // startCommand replies to a command locally or routes it as a request.
 func (sm *SessionManager) startCommand(c *client, cmd command, now time.Time) {
+	if !sm.forward(c, cmd, now) {
+		c.socket.release(cmd)
+	}
+}
+
+// release takes an answered command off the account of its connection.
+func (s *socket) release(cmd command) {
+	s.conn.Account().Add(budget.KindQueries, -cmd.bytes)
+}
+
+// forward routes a command as a request. It returns false if it replied to the command
+// itself.
+func (sm *SessionManager) forward(c *client, cmd command, now time.Time) bool {
 	if cmd.kind != kindForward {
 		sm.replyLocally(c, cmd)
-		return
+		return false
 	}
 	if c.session.TransactionAborted() {
 		sm.replyInAborted(c, cmd)
-		return
+		return false
 	}
 	if len(sm.inFlight) >= inFlightLimit {
 		write(c.socket, encode(errorResponse(sqlStateInsufficientResources, "not run: overload"), readyForQuery(sm.transactionStatus(c))))
-		return
+		return false
 	}
 	sm.lastSequence++
 	id := rosemarylb.RequestID{
@@ -296,7 +310,7 @@
 		if err != nil {
 			c.session, _ = c.session.WithFinalOutcome(rosemarylb.NewNotRun(id, rosemarylb.ReasonNone), now)
 			write(c.socket, encode(errorResponse(sqlStateFeatureNotSupported, err.Error()), readyForQuery(sm.transactionStatus(c))))
-			return
+			return false
 		}
 		r = r.WithPayload(withKey.Payload)
 		c.session = c.session.WithRequestInFlight(r)
@@ -304,6 +318,7 @@
 	sm.retryBudget = sm.retryBudget.WithFirstAttempt()
 	sm.inFlight[c.session.ID()] = c
 	sm.route(c, r, now)
+	return true
 }
 
 // route sends a request to the endpoint that the router chooses, or to that of
--- a/internal/peer/caller/settings.go
+++ b/internal/peer/caller/settings.go
@@ -174,6 +174,6 @@
 		return
 	}
 	if time.Now().After(c.closeAt) {
-		_ = c.socket.conn.Close()
+		c.socket.conn.Close()
 	}
 }
--- a/internal/process/service/instance.go
+++ b/internal/process/service/instance.go
@@ -222,7 +222,7 @@
 }
 
 func (i *Instance) listenForCallers() (*caller.Server, error) {
-	s, stop, err := caller.Listen(i.settings.CallerAddress, i.settings.EventLoops, i.sessionManager)
+	s, stop, err := caller.Listen(i.settings.CallerAddress, i.settings.EventLoops, i.sessionManager, i.pool, i.budget)
 	if err != nil {
 		return nil, err
 	}
