Cut long values in log lines

Callers choose the identifiers of their queries, which may be up to 1 MiB long and appear in log lines. With 40 lines a second of each event and a ring of 4,096 lines, a blocked output let them fill the memory. Values of more than 512 bytes are cut.

TestLongValuesAreCut failed before (a line of 2 MiB) and passes now.

--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -20,6 +20,9 @@
 	ringCapacity = 4096
 	// maxLinesPerEvent is the maximum number of lines of an event in a rateWindow.
 	maxLinesPerEvent = 40
+	// maxValueBytes is the maximum length of a value. Callers choose some of them, such
+	// as the identifier of a query, and could otherwise fill the memory with lines.
+	maxValueBytes = 512
 	// rateWindow is the length of a window of the rate limit.
 	rateWindow = time.Second
 )
@@ -45,7 +48,7 @@
 	_, stop := duty.Start[[]byte]("journal", w, r.ring)
 	h := &rateLimiter{
 		next: slog.NewTextHandler(r, &slog.HandlerOptions{
-			ReplaceAttr: errorToMessage,
+			ReplaceAttr: shorten,
 		}),
 		counts: &eventCounts{
 			lines: map[string]int{},
@@ -70,11 +73,17 @@
 	}
 }
 
-// errorToMessage replaces an error by its message, without the stack trace.
-func errorToMessage(_ []string, a slog.Attr) slog.Attr {
+// shorten replaces an error by its message, without the stack trace, and cuts a value
+// to maxValueBytes.
+func shorten(_ []string, a slog.Attr) slog.Attr {
 	if err, ok := a.Value.Any().(error); ok {
 		a.Value = slog.StringValue(err.Error())
 	}
+	if a.Value.Kind() == slog.KindString {
+		if text := a.Value.String(); len(text) > maxValueBytes {
+			a.Value = slog.StringValue(text[:maxValueBytes] + "...")
+		}
+	}
 	return a
 }
 
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -93,3 +93,15 @@
 		t.Errorf("got %q, want the rare event with the error's message alone", text)
 	}
 }
+
+// Identifiers of queries come from callers and may be up to 1 MiB long. A ring full of
+// such lines filled the memory.
+func TestLongValuesAreCut(t *testing.T) {
+	var out bytes.Buffer
+	log, stop := StartLogger(&out)
+	log.Info("event", "id", strings.Repeat("x", 1<<20), "error", errors.New(strings.Repeat("y", 1<<20)))
+	stop()
+	if got, limit := out.Len(), 3*maxValueBytes; got > limit {
+		t.Errorf("got a line of %d bytes, want at most %d", got, limit)
+	}
+}
