Limit the replies that wait for a permit

A reply of a primary that no permit covers yet is held. While the keeper is lost, the replies of all sessions waited like this until their deadlines, whatever their size.

--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -193,11 +193,11 @@
 	c.current = nil
 	p.pinOrRelease(pq, c, r, now)
 	if pq.term != 0 && !ep.group.permit.ValidFor(pq.term, now) {
-		ep.group.heldReplies = append(ep.group.heldReplies, heldReply{
+		p.hold(ep.group, heldReply{
 			query:      pq,
 			reply:      r,
 			receivedAt: now,
-		})
+		}, now)
 		return
 	}
 	p.deliver(pq, r, now)
