--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -9,6 +9,7 @@
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/message/link"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/quota"
@@ -38,13 +39,16 @@
 
 // ServeKeeper serves the permit requests of other instances on a listener. It calls
 // onCatalog, which must not block, with each configuration that a request carries, and
-// counts the messages with m. onDeputyRequest receives the requests to this instance as
-// the deputy of teams; it must not block, and returns false if it drops one. The returned function stops the server and waits for it to end.
+// counts the messages with m. What it receives counts in b. onDeputyRequest receives the
+// requests to this instance as the deputy of teams; it must not block, and returns false
+// if it drops one. The returned function stops the server and waits for it to end.
 func ServeKeeper(
-	listener net.Listener, clock rosemarylb.Clock, k *keeperduty.Runner, onCatalog func(rosemarylb.Catalog),
-	m *meter.Meter, onDeputyRequest func([]quota.Demand, chan<- quota.Reply) bool,
+	listener net.Listener, b *budget.Budget, clock rosemarylb.Clock, k *keeperduty.Runner,
+	onCatalog func(rosemarylb.Catalog), m *meter.Meter,
+	onDeputyRequest func([]quota.Demand, chan<- quota.Reply) bool,
 ) func() {
-	s := grpc.NewServer()
+	counted, options := newInboundListener(listener, b)
+	s := grpc.NewServer(options...)
 	link.RegisterKeeperServer(s, &permitServer{
 		clock:     clock,
 		ring:      k.Ring(),
@@ -56,7 +60,7 @@
 		onDeputyRequest: onDeputyRequest,
 	})
 	wait := duty.Spawn(func() {
-		_ = s.Serve(listener)
+		_ = s.Serve(counted)
 	})
 	return func() {
 		s.Stop()
--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -14,9 +14,11 @@
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/fleet/registry"
 	"rosemarylb/internal/peer/instance"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/process/meter"
+	"rosemarylb/internal/process/stream"
 	"rosemarylb/internal/traffic/proxy"
 	"rosemarylb/internal/traffic/quota"
 
@@ -34,8 +36,6 @@
 	// drainFlushTime is the time after the end of a drain in which the last answers are
 	// sent.
 	drainFlushTime = 150 * time.Millisecond
-	// readHeaderTimeout is the maximum time to read the header of an HTTP request.
-	readHeaderTimeout = 2 * time.Second
 )
 
 // Identity is the identity of an instance and the addresses it listens on.
@@ -82,6 +82,10 @@
 	// SetEndpointSink and SetProbeSink set the sinks that receive the events of
 	// Endpoints and Probes.
 	SetEndpointSink, SetProbeSink func(rosemarylb.EndpointSink)
+	// Pool limits the connections that the process accepts.
+	Pool *budget.Pool
+	// Budget counts the bytes that the process holds for callers and other instances.
+	Budget *budget.Budget
 	// Store holds the keeper's record.
 	Store rosemarylb.Store
 	// Directory provides the endpoints and the configuration.
@@ -234,7 +238,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	i.cleanups = append(i.cleanups, instance.ServeKeeper(instanceListener, i.clock, i.keeperRunner,
+	i.cleanups = append(i.cleanups, instance.ServeKeeper(
+		stream.LimitListener(instanceListener, budget.ServerInstances, p.Pool), p.Budget, i.clock, i.keeperRunner,
 		i.offerCatalog("instance"), p.Meter, i.offerDeputyRequest))
 	readyListener, err := net.Listen("tcp", id.ReadyAddress)
 	if err != nil {
@@ -242,7 +247,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", i.handleReady)
-	i.cleanups = append(i.cleanups, serveHTTP(readyListener, mux))
+	i.cleanups = append(i.cleanups, stream.ServeHTTP(readyListener, budget.ServerReady, p.Pool, mux))
 	metricsListener, err := net.Listen("tcp", id.MetricsAddress)
 	if err != nil {
 		i.log.Warn("metrics and dumps unavailable: listen failed", "address", id.MetricsAddress, "error", err)
@@ -254,25 +259,10 @@
 	})
 	mux.HandleFunc("GET /dump", i.handleDump)
 	mux.HandleFunc("GET /explain", i.handleExplain)
-	i.cleanups = append(i.cleanups, serveHTTP(metricsListener, mux))
+	i.cleanups = append(i.cleanups, stream.ServeHTTP(metricsListener, budget.ServerOperators, p.Pool, mux))
 	return nil
 }
 
-// serveHTTP serves HTTP on a listener. The returned function closes the server.
-func serveHTTP(l net.Listener, h http.Handler) func() {
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
-	wait := duty.Spawn(func() {
-		_ = s.Serve(l)
-	})
-	return func() {
-		_ = s.Close()
-		wait()
-	}
-}
-
 // handleReady responds with status 503 while the proxy is not ready.
 func (i *Instance) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !i.proxy.Status().Load().Ready {
--- a/internal/process/service/instance.go
+++ b/internal/process/service/instance.go
@@ -15,7 +15,9 @@
 	"rosemarylb/internal/peer/instance"
 	"rosemarylb/internal/peer/operator"
 	"rosemarylb/internal/peer/platform"
+	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/duty"
+	"rosemarylb/internal/process/stream"
 	"rosemarylb/internal/traffic/placement"
 	"rosemarylb/internal/traffic/route"
 
@@ -38,6 +40,10 @@
 	OperatorAddress string
 	// EventLoops is the number of event loops for callers, and of those for endpoints.
 	EventLoops int
+	// MemoryMegabytes is the memory that the process may use, in MiB, and
+	// MaxDescriptors the number of descriptors. 0 stands for the defaults of package
+	// budget.
+	MemoryMegabytes, MaxDescriptors int64
 	// Version is the version of the program.
 	Version string
 }
@@ -45,6 +51,8 @@
 // Instance is a running instance.
 type Instance struct {
 	settings         Settings
+	pool             *budget.Pool
+	budget           *budget.Budget
 	log              *slog.Logger
 	sessionManager   *caller.SessionManager
 	server           *caller.Server
@@ -85,6 +93,8 @@
 	for _, o := range options {
 		o(i)
 	}
+	i.pool = budget.NewPool(s.MaxDescriptors, i.log)
+	i.budget = budget.NewBudget(budget.HeldBytes(s.MemoryMegabytes), i.log)
 	if err := i.start(store); err != nil {
 		i.runCleanups()
 		return nil, nil, err
@@ -148,7 +158,7 @@
 	duties = append(duties,
 		i.startDuty(i.fleet.Start), i.startDuty(owner.Start), i.startDuty(watcher.Start),
 		i.startDuty(i.sessionManager.Start))
-	i.addCleanup(instance.Serve(instanceListener, receiver{
+	i.addCleanup(instance.Serve(stream.LimitListener(instanceListener, budget.ServerInstances, i.pool), i.budget, receiver{
 		dispatcher: d,
 	}))
 	i.server, err = i.listenForCallers()
@@ -161,6 +171,7 @@
 	i.addCleanup(operator.Serve(i.operatorListener, i.settings.ID, i.view,
 		operator.WithDuties(append(duties, platformDuties...)),
 		operator.WithVersion(i.settings.Version),
+		operator.WithPool(i.pool),
 		operator.WithDrain(i.requestDrain)))
 	return nil
 }
@@ -211,7 +222,7 @@
 }
 
 func (i *Instance) listenForCallers() (*caller.Server, error) {
-	s, stop, err := caller.Listen(i.settings.CallerAddress, i.settings.EventLoops, i.sessionManager)
+	s, stop, err := caller.Listen(i.settings.CallerAddress, i.settings.EventLoops, i.sessionManager, i.pool, i.budget)
 	if err != nil {
 		return nil, err
 	}
