Keep one set less for each connection of a front end

The set of open connections served a counter that nothing reads and a check that the order of events on a loop makes needless.

The tests of package exhaustion that were run again (callers that do not read or exceed the limit, the PostgreSQL front end) pass.

--- a/internal/process/stream/conn.go
+++ b/internal/process/stream/conn.go
@@ -71,8 +71,8 @@
 // WriteInLoop sends a payload from a method of the handler, before the connection may
 // be closed.
 func (c *Conn) WriteInLoop(payload []byte) {
-	_, _ = c.conn.Write(payload)
-	_ = c.measure(c.conn, nil)
+	_, err := c.conn.Write(payload)
+	_ = c.measure(c.conn, err)
 }
 
 // WriteAndClose sends a payload and closes the connection after it.
@@ -107,11 +107,12 @@
 	return nil
 }
 
-// setUnread records whether the peer has to read before more can be sent.
+// setUnread records whether the peer has to read before more can be sent. It runs on the
+// event loop of an open connection.
 func (s *Server) setUnread(c *Conn, unread bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, open := s.open[c]; open && unread {
+	if unread {
 		s.unread[c] = struct{}{}
 		return
 	}
--- a/internal/process/stream/server.go
+++ b/internal/process/stream/server.go
@@ -61,7 +61,6 @@
 	client   *gnet.Client
 
 	mu     sync.Mutex // guards the fields below
-	open   map[*Conn]struct{}
 	unread map[*Conn]struct{}
 	// unused are the connections that have sent no request.
 	unused map[*Conn]unusedState
@@ -82,7 +81,6 @@
 	s := &Server{
 		handler: h,
 		budget:  b,
-		open:    map[*Conn]struct{}{},
 		unread:  map[*Conn]struct{}{},
 		unused:  map[*Conn]unusedState{},
 	}
@@ -160,7 +158,6 @@
 		_ = conn.Close()
 	})
 	s.mu.Lock()
-	s.open[c] = struct{}{}
 	s.unused[c] = unusedState{
 		openedAt: time.Now(),
 	}
@@ -176,7 +173,6 @@
 		return gnet.None
 	}
 	s.mu.Lock()
-	delete(s.open, c)
 	delete(s.unread, c)
 	delete(s.unused, c)
 	s.mu.Unlock()
