--- a/internal/peer/instance/quota_requester_test.go
+++ b/internal/peer/instance/quota_requester_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -82,7 +83,7 @@
 	runner := keeperduty.NewRunner(keeper.NewKeeper("keeper", 1, address), c)
 	_, stop := runner.Start(store, store, store, duty.NewLatest(time.Time{}), duty.NewLatest(keeper.Notification{}))
 	t.Cleanup(stop)
-	t.Cleanup(ServeKeeper(listener, budget.NewBudget(1<<30), c, runner, func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{}),
+	t.Cleanup(ServeKeeper(listener, budget.NewBudget(1<<30, slog.New(slog.DiscardHandler)), c, runner, func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{}),
 		func([]quota.Demand, chan<- quota.Reply) bool { return false }))
 	runner.Ring().Put(keeperduty.CatalogChanged{
 		Catalog: catalog,
