Weigh teams by their priority in the proxy's queues

Queries were queued without a weight, so that all teams had the same share of the service time. The instance that queues a query takes the weight from its own catalog, also for relayed queries.

--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -181,6 +181,7 @@
 	served := rosemarylb.Request{
 		Caller: string(pq.team),
 		Rank:   pq.route.Rank,
+		Weight: p.weightOf(pq.team),
 	}
 	*q = (*q).WithServed(served, now.Sub(pq.sentAt)).
 		WithServiceConfig(queueSettings, p.slotCount(ep.group, pq.needsPrimary, now))
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -110,6 +110,7 @@
 		},
 		Caller:        string(pq.team),
 		Rank:          pq.route.Rank,
+		Weight:        p.weightOf(pq.team),
 		ArrivedAt:     pq.arrivedAt,
 		QueueDeadline: until,
 		Deadline:      pq.deadline,
--- a/internal/traffic/proxy/teams.go
+++ b/internal/traffic/proxy/teams.go
@@ -39,6 +39,17 @@
 	return p.catalog.Authenticates()
 }
 
+// weightOf returns the weight of a team in the queues, by the configuration of this
+// instance. Callers without a team, and teams that are not configured, have the usual
+// one.
+func (p *Proxy) weightOf(name rosemarylb.TeamName) int {
+	t, found := p.catalog.Team(name)
+	if !found {
+		t.Priority = rosemarylb.UsualPriority
+	}
+	return t.Weight()
+}
+
 // ownersFor returns the owners of the connections to an endpoint.
 func (p *Proxy) ownersFor(ep *endpointPool) *teamOwners {
 	t, connections := &ep.teamOwners, ep.usableConnections()
--- a/team.go
+++ b/team.go
@@ -30,10 +30,14 @@
 	RatePerSecond float64
 	// Burst is the number of operations that the team may run at once beyond its rate.
 	Burst float64
-	// Priority orders the teams of a rank, 0 for the highest, 1 for the usual one.
+	// Priority orders the teams of a rank, 0 for the highest, UsualPriority for the usual
+	// one.
 	Priority int
 }
 
+// UsualPriority is the priority of teams that are not given another one.
+const UsualPriority = 1
+
 // maxWeight is the weight of teams of the highest priority.
 const maxWeight = 8
 
