Carry the load of endpoints from the keeper to the proxies

An instance knew the load of an endpoint by its own requests only. STATUS replies tell the busy slots and connections; the keeper now keeps them, asks each replica once a second (apart from the probes of failovers, which are not delayed), and adds a byte for each endpoint to its replies. It leaves the loads out if the requester names their version, and renews the list at most twice a second.

--- a/endpoint.go
+++ b/endpoint.go
@@ -75,6 +75,9 @@
 	// CaughtUpAt is a time at which Applied was the end of the primary's log, the
 	// zero time if none is known.
 	CaughtUpAt time.Time
+	// Busy is the number of slots that execute a statement, and Connections the number
+	// of open connections, of all instances together.
+	Busy, Connections int
 }
 
 // WithApplied returns the state with a later applied position.
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -101,7 +101,7 @@
 		g, d = g.probe(d, e, interval, now)
 		k = k.withGroup(name, g)
 	}
-	return k, d
+	return k.probeLoads(name, d, now)
 }
 
 // discoverPrimary probes all endpoints of a group whose primary the record does
--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -43,11 +43,17 @@
 // endpointState is the last status of an endpoint and the state of its probes.
 type endpointState struct {
 	nextProbeAt time.Time
+	// nextLoadProbeAt is when the next probe for the load is due, apart from the others,
+	// which must not be late when a failover starts.
+	nextLoadProbeAt time.Time
 	// probedAt is when the request for the status was sent, zero for no status.
 	probedAt  time.Time
 	isPrimary bool
 	term      rosemarylb.Term
 	position  rosemarylb.Position
+	// busy and connections are the last reported load.
+	busy        int
+	connections int
 	// failures and refusals count consecutive failed probes.
 	failures int
 	refusals int
@@ -121,6 +127,8 @@
 	Term rosemarylb.Term
 	// LogPosition is the position of the last entry in the endpoint's log.
 	LogPosition rosemarylb.Position
+	// BusySlots and Connections are the endpoint's use by all instances.
+	BusySlots, Connections int
 }
 
 // WithStatus applies the outcome of a status probe. It is ignored while the
@@ -143,10 +151,15 @@
 	default:
 		s = endpointState{
 			nextProbeAt: s.nextProbeAt,
+
+			nextLoadProbeAt: s.nextLoadProbeAt,
+
 			probedAt:    a.ProbedAt,
 			isPrimary:   a.Primary,
 			term:        a.Term,
 			position:    a.LogPosition,
+			busy:        a.BusySlots,
+			connections: a.Connections,
 		}
 	}
 	l := k.leadership(a.Group)
@@ -264,11 +277,15 @@
 	}
 	s := g.states[e.ID]
 	s.nextProbeAt = now.Add(interval)
-	d.Queries = append(d.Queries, EndpointQuery{
+	d.Queries = append(d.Queries, statusQuery(e))
+	return g.withState(e.ID, s), d
+}
+
+func statusQuery(e rosemarylb.EndpointSpec) EndpointQuery {
+	return EndpointQuery{
 		Endpoint: e,
 		Query: rosemarylb.Query{
 			Kind: rosemarylb.QueryStatus,
 		},
-	})
-	return g.withState(e.ID, s), d
+	}
 }
--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -93,6 +93,10 @@
 	// list, and is 0 before the list is known.
 	Endpoints        []rosemarylb.EndpointSpec
 	EndpointsVersion uint64
+	// Loads are the loads of the endpoints, in the order of Endpoints; LoadsVersion
+	// identifies the list, and is 0 before it is known.
+	Loads        []rosemarylb.EndpointLoad
+	LoadsVersion uint64
 	// Catalog is the configuration that the keeper holds, of version 0 if none.
 	Catalog rosemarylb.Catalog
 }
--- a/internal/failover/keeperduty/probes.go
+++ b/internal/failover/keeperduty/probes.go
@@ -115,6 +115,8 @@
 		Primary:     e.reply.Endpoint.Primary,
 		Term:        e.reply.Endpoint.Term,
 		LogPosition: e.reply.Endpoint.Log,
+		BusySlots:   e.reply.Endpoint.Busy,
+		Connections: e.reply.Endpoint.Connections,
 	}
 	pp.sendNext(p, now)
 	return []keeper.Status{status}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -46,6 +46,7 @@
 	endpoints       endpointList
 	catalog         rosemarylb.Catalog
 	grantLists      grantLists
+	loads           loadList
 	storeAnsweredAt *duty.Latest[time.Time]
 	tokens          tokenGrants
 }
@@ -226,6 +227,9 @@
 		r.grantLists = r.grantLists.withGrants(record.Token, grants)
 		grants, version = r.grantLists.order(grants), r.grantLists.version()
 	}
+	if holds {
+		r.loads = r.loads.withLoads(r.keeper, r.endpoints, now)
+	}
 	select {
 	case e.Reply <- PermitReply{
 		IsHolder:      holds,
@@ -242,6 +246,8 @@
 		CatalogVersion:   r.keeper.LatestCatalogVersion(),
 		Endpoints:        r.endpoints.endpoints,
 		EndpointsVersion: r.endpoints.version,
+		Loads:            r.loads.loads,
+		LoadsVersion:     r.loads.version,
 		Catalog:          r.catalog,
 	}:
 	default:
--- a/internal/peer/instance/notification.go
+++ b/internal/peer/instance/notification.go
@@ -58,6 +58,7 @@
 	if version := reply.GetEndpointsVersion(); version != pr.endpointsVersion {
 		pr.endpointsVersion = version
 		endpoints := decodeEndpoints(reply.GetEndpoints())
+		pr.loads = pr.loads.withEndpoints(endpoints)
 		pr.proxyRing.Put(proxy.EndpointsChanged{
 			Endpoints: endpoints,
 		})
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -87,6 +87,7 @@
 	nextSeed            int
 	catalogs            catalogExchange
 	meter               *meter.Meter
+	loads               endpointLoads
 }
 
 // KeeperAddress is the address of the lease holder that an instance asks, empty while it
@@ -333,6 +334,7 @@
 	if err := pr.catalogs.receive(reply, pr.keeperToken); err != nil {
 		pr.log.Error("cannot decode the keeper's configuration", "bytes", len(reply.GetCatalog()), "error", err)
 	}
+	pr.applyLoads(reply, now)
 	pr.applyNotification(reply, now)
 	return nil
 }
@@ -373,6 +375,7 @@
 		PeersVersion: pr.peersVersion,
 
 		EndpointsVersion: pr.endpointsVersion,
+		LoadsVersion:     pr.loads.versionFor(pr.keeperToken),
 		CatalogVersion:   pr.proxyStatus.Load().CatalogVersion,
 		Capacity:         uint32(pr.capacity),
 		Catalog:          pr.catalogs.contentFor(pr.keeperToken, now),
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -84,6 +84,7 @@
 	select {
 	case reply := <-replies:
 		encoded := encodePermitReply(reply, request)
+		encodeLoads(encoded, reply, request, s.clock.Now())
 		if reply.IsHolder {
 			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
 		}
--- a/internal/peer/instance/size_test.go
+++ b/internal/peer/instance/size_test.go
@@ -51,6 +51,18 @@
 			PositionMicros: int64(100_000 + 40_000*i),
 		})
 	}
+	for i := range 24 {
+		reply.Endpoints = append(reply.Endpoints, rosemarylb.EndpointSpec{
+			ID:    rosemarylb.EndpointID(fmt.Sprintf("i-%d", i)),
+			Slots: 4,
+		})
+		reply.Loads = append(reply.Loads, rosemarylb.EndpointLoad{
+			Busy:        i % 5,
+			Connections: 3 * i,
+			ObservedAt:  now.Add(-time.Duration(40*i) * time.Millisecond),
+		})
+	}
+	reply.LoadsVersion = 4321
 	list := permit.NewGrantList(reply.HolderToken, reply.Grants)
 	reply.Grants, reply.GrantsVersion = list.WithPositions(reply.Grants), list.Version()
 	return &PermitRequester{
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -102,6 +102,12 @@
 	Reply quota.Reply
 }
 
+// LoadsReceived carries the known loads of endpoints, in place of all former ones.
+type LoadsReceived struct {
+	// Loads are the loads.
+	Loads []rosemarylb.EndpointLoad
+}
+
 func (SessionOpened) proxyEvent()    {}
 func (PeersChanged) proxyEvent()     {}
 func (QueryReceived) proxyEvent()    {}
@@ -115,3 +121,4 @@
 func (ShareChanged) proxyEvent()     {}
 func (KeeperChanged) proxyEvent()    {}
 func (QuotaReplied) proxyEvent()     {}
+func (LoadsReceived) proxyEvent()    {}
