Place reads by expected finish, outliers and distance

Each read went to the endpoint with the lowest cost that had a free connection, so that all reads of an instance met at one replica, a replica that failed part of them kept its share, and a busy domain sent reads anywhere.

A group now holds a balancing value: outcomes of statements feed the outlier detector, expected finishes at each distance feed the balancer for leaving the domain, and the endpoint is one of two random choices. A read whose endpoint has no free connection goes to another one at its distance, or farther away once it has waited for longer than it takes to travel. Random numbers come from an option.

--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -243,8 +243,10 @@
 	case opening:
 		ep.nextOpenAt = now.Add(openBackoff)
 		p.recordFailure(ep, now)
+		p.recordUnanswered(ep, now)
 	default:
 		p.recordFailure(ep, now)
+		p.recordUnanswered(ep, now)
 	}
 	if c.current != nil {
 		p.resolveLost(c.current, now)
--- a/internal/traffic/proxy/dispatch.go
+++ b/internal/traffic/proxy/dispatch.go
@@ -66,31 +66,36 @@
 // hasSendable reports whether a query of a queue can be sent now, and opens connections
 // for those that lack one.
 func (p *Proxy) hasSendable(g *group, kind queueKind, now time.Time) bool {
-	if !p.usesTeams() {
+	eligible := p.eligibility(g, kind, now)
+	if eligible == nil {
 		return p.canSend(g, kind, now)
 	}
-	d, _ := g.queues[kind].Next(now, p.eligibility(g, now))
+	d, _ := g.queues[kind].Next(now, eligible)
 	return d.Found || len(d.Expired) > 0
 }
 
 // eligibility returns the function that decides which queued queries can be sent now, nil
-// where all queries share the same connections.
-func (p *Proxy) eligibility(g *group, now time.Time) func(rosemarylb.Request) bool {
-	if !p.usesTeams() {
+// where all queries of the queue share the same connections.
+func (p *Proxy) eligibility(g *group, kind queueKind, now time.Time) func(rosemarylb.Request) bool {
+	if kind != queueReads && !p.usesTeams() {
 		return nil
 	}
 	return func(r rosemarylb.Request) bool {
 		pq, found := g.queued[r.ID.Sequence]
-		return found && p.canSendForTeam(g, pq, now)
+		switch {
+		case !found:
+			return false
+		case kind == queueReads && !pq.isRelayed():
+			return p.canSendRead(g, pq, now)
+		default:
+			return p.canSendForTeam(g, pq, now)
+		}
 	}
 }
 
-// canSend reports whether a query of a queue can be sent now. If no connection
-// is available, it opens another.
+// canSend reports whether a query for the primary can be sent now. If no connection is
+// available, it opens another.
 func (p *Proxy) canSend(g *group, kind queueKind, now time.Time) bool {
-	if kind == queueReads {
-		return p.canSendRead(g, now)
-	}
 	primary := p.primary(g, now)
 	if primary == nil {
 		return false
@@ -111,7 +116,7 @@
 // dequeue removes the next query from a queue and rejects expired ones. It
 // returns nil if none is left.
 func (p *Proxy) dequeue(g *group, kind queueKind, now time.Time) *pendingQuery {
-	d, rest := g.queues[kind].Next(now, p.eligibility(g, now))
+	d, rest := g.queues[kind].Next(now, p.eligibility(g, kind, now))
 	g.queues[kind] = rest
 	p.rejectExpired(g, d.Expired, now)
 	if !d.Found {
--- a/internal/traffic/proxy/endpoint.go
+++ b/internal/traffic/proxy/endpoint.go
@@ -9,11 +9,18 @@
 // applyEndpoints updates the pools to the registered endpoints. Endpoints that
 // are no longer registered are marked as removed.
 func (p *Proxy) applyEndpoints(e EndpointsChanged, now time.Time) {
+	initial := !p.endpointsKnown
 	p.endpointsKnown = true
 	seen := map[rosemarylb.EndpointID]bool{}
 	for _, spec := range e.Endpoints {
 		seen[spec.ID] = true
+		ep, known := p.pools[spec.ID]
+		starts := !known || ep.removed || ep.spec.Born != spec.Born || ep.spec.Database != spec.Database
 		p.registerEndpoint(spec, now)
+		if starts {
+			g := p.group(spec.Database)
+			g.balancing = g.balancing.withStart(spec.ID, initial, now)
+		}
 	}
 	for id, ep := range p.pools {
 		if seen[id] || ep.removed {
@@ -21,6 +28,7 @@
 		}
 		p.log.Info("endpoint gone", "endpoint", id, "group", ep.group.name)
 		ep.removed = true
+		ep.group.balancing = ep.group.balancing.withoutEndpoint(id, now)
 		p.retireConnections(ep, now)
 	}
 	for _, g := range p.groups {
@@ -35,6 +43,7 @@
 		ep.removed = true
 		p.retireConnections(ep, now)
 		ep.group.removePool(ep)
+		ep.group.balancing = ep.group.balancing.withoutEndpoint(spec.ID, now)
 		found = false
 	}
 	if !found {
--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -175,8 +175,10 @@
 func (p *Proxy) handleQueryReply(pq *pendingQuery, c *connection, r rosemarylb.Reply, now time.Time) {
 	ep := c.pool
 	if r.Code == rosemarylb.ReplyDone {
-		ep.stats = ep.stats.withLatency(now.Sub(pq.sentAt))
+		p.recordLatency(ep, now.Sub(pq.sentAt), now)
 	}
+	p.recordQueryOutcome(pq, ep, r.Code, now)
+	p.recordTransfer(pq, r, now)
 	q := &ep.group.queues[pq.queue]
 	served := rosemarylb.Request{
 		Caller: string(pq.team),
@@ -301,6 +303,7 @@
 		return
 	}
 	retriesTotal.Inc()
+	p.draw(pq)
 	g := ep.group
 	backoff := time.Duration(0)
 	switch code {
--- a/internal/traffic/proxy/harness_test.go
+++ b/internal/traffic/proxy/harness_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -123,7 +124,8 @@
 		owners:   map[rosemarylb.ConnectionID]rosemarylb.EndpointID{},
 		relays:   map[rosemarylb.ConnectionID]string{},
 	}
-	h.proxy = NewProxy(h, endpointPorts{harness: h}, WithLocation("r", "r"))
+	h.proxy = NewProxy(h, endpointPorts{harness: h}, WithLocation("r", "r"),
+		WithRandom(rand.New(rand.NewPCG(1, 7)).Float64))
 	h.handle(ShareChanged{
 		Share: rosemarylb.ConnectionShare{
 			Members: 2,
--- a/internal/traffic/proxy/outcome.go
+++ b/internal/traffic/proxy/outcome.go
@@ -262,6 +262,7 @@
 // closeTimedOut closes a connection on which no reply arrived before the
 // deadline of the current query.
 func (p *Proxy) closeTimedOut(c *connection, now time.Time) {
+	p.recordUnanswered(c.pool, now)
 	if !c.isRelayed() {
 		p.recordFailure(c.pool, now)
 	} else if p.usesTeams() {
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -62,27 +62,25 @@
 	return ep
 }
 
-// canSendRead reports whether a connection of the group can take a read now. If
-// none can, it opens another.
-func (p *Proxy) canSendRead(g *group, now time.Time) bool {
-	var best *endpointPool
-	for _, ep := range g.pools {
-		if !p.acceptsReads(ep, now) {
-			continue
-		}
-		if ep.count(connectionIdle) > 0 || p.pipelineTarget(ep) != nil {
-			return true
-		}
-		if ep.canOpen(p.connectionLimit(ep), now) && (best == nil || p.readCost(ep) < p.readCost(best)) {
-			best = ep
-		}
+// canSendRead reports whether a read can be sent now. If not, it opens a connection to the
+// preferred endpoint. Where connections belong to no team, a read that no endpoint may
+// serve counts as sent, so that those behind it do not wait.
+func (p *Proxy) canSendRead(g *group, pq *pendingQuery, now time.Time) bool {
+	c := p.chooseRead(g, pq, now)
+	if c.target != nil {
+		return true
 	}
-	if best != nil {
-		p.openDirect(best, now)
-	} else if primary := p.primary(g, now); primary != nil {
+	if c.preferred != nil {
+		p.openTo(c.preferred, pq, now)
+	}
+	if p.usesTeams() {
+		return false
+	}
+	primary := p.primary(g, now)
+	if primary != nil && (c.preferred == nil || !c.preferred.canOpen(p.connectionLimit(c.preferred), now)) {
 		p.openRelay(primary, now)
 	}
-	return false
+	return c.preferred == nil
 }
 
 // acceptsReads reports whether reads may be sent to an endpoint now.
@@ -96,26 +94,27 @@
 	return p.acceptsReads(ep, now) && (!needsPrimary || ep.spec.ID == ep.group.permit.Primary)
 }
 
-// chooseReadEndpoint returns the available endpoint with the lowest read cost
-// that may serve a read, nil if there is none.
+// chooseReadEndpoint returns the endpoint that takes a read now, nil if there is none. It
+// opens a connection to the preferred endpoint if that has none free.
 func (p *Proxy) chooseReadEndpoint(g *group, pq *pendingQuery, now time.Time) *endpointPool {
 	if pq.isRelayed() {
 		return p.relayTarget(pq, now)
 	}
-	var best *endpointPool
-	for _, ep := range g.pools {
-		if !p.canTake(ep, pq, now) || !p.mayServeRead(ep, pq, now) {
-			continue
-		}
-		if best == nil || p.readCost(ep) < p.readCost(best) {
-			best = ep
-		}
+	c := p.chooseRead(g, pq, now)
+	if c.preferred != c.target && c.preferred != nil && !(c.isClose && p.replacesConnection(c.preferred, pq, now)) {
+		p.openTo(c.preferred, pq, now)
 	}
-	p.openNearer(g, pq, best, now)
-	if best == nil && len(pq.excluded) > 0 {
-		pq.excluded = nil
+	if c.target != nil {
+		p.recordPlacement(pq, c, now)
 	}
-	return best
+	return c.target
+}
+
+// replacesConnection reports whether the connection that a query needs to an endpoint may
+// take the place of one of another team. It is not worth that where another endpoint
+// serves the query as well.
+func (p *Proxy) replacesConnection(ep *endpointPool, pq *pendingQuery, now time.Time) bool {
+	return p.usesTeams() && p.teamPathTo(ep, pq, now).openDirect
 }
 
 // canTake reports whether an endpoint has a connection on which a query can be sent now.
@@ -145,20 +144,6 @@
 	return now.Before(ep.laggingUntil) && ep.applied.Less(required)
 }
 
-// openNearer opens connections to endpoints without idle connections whose read
-// cost is lower than that of the best available one by more than
-// initialLatency.
-func (p *Proxy) openNearer(g *group, pq *pendingQuery, best *endpointPool, now time.Time) {
-	for _, ep := range g.pools {
-		if ep == best || pq.excludes(ep.spec.ID) || !p.acceptsReads(ep, now) || p.canTake(ep, pq, now) {
-			continue
-		}
-		if best == nil || p.readCost(ep)+initialLatency < p.readCost(best) {
-			p.openTo(ep, pq, now)
-		}
-	}
-}
-
 // openTo opens a connection to an endpoint for a query.
 func (p *Proxy) openTo(ep *endpointPool, pq *pendingQuery, now time.Time) {
 	if p.usesTeams() {
@@ -168,24 +153,6 @@
 	p.openDirect(ep, now)
 }
 
-// readCost returns the expected time for an endpoint to answer a read.
-func (p *Proxy) readCost(ep *endpointPool) time.Duration {
-	cost := ep.stats.latency
-	if cost == 0 {
-		cost = initialLatency
-		switch {
-		case ep.spec.Region != p.region:
-			cost += costOtherRegion
-		case ep.spec.Domain != p.domain:
-			cost += costOtherDomain
-		}
-	}
-	if ep.group.permit.Primary == ep.spec.ID {
-		cost += costPrimary
-	}
-	return cost + cost*time.Duration(ep.count(connectionBusy))/time.Duration(max(ep.spec.Slots, 1))
-}
-
 // place runs a query on the most suitable idle connection to an endpoint, or
 // pipelines it behind another read.
 func (p *Proxy) place(pq *pendingQuery, ep *endpointPool, now time.Time) {
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"rosemarylb"
@@ -27,6 +28,9 @@
 	// queueLimit is the maximum number of queued queries of a rank in each
 	// queue of a group.
 	queueLimit = 512
+	// defaultLinkBudget is the budget in bytes a second where the link of the machine is
+	// not known: a tenth of 10 Mbit/s.
+	defaultLinkBudget = 125_000
 )
 
 var (
@@ -63,6 +67,8 @@
 	inFlight        int
 	drain           DrainStarted
 	quotas          quotas
+	random          func() float64
+	linkBudget      float64
 }
 
 // Status is the state that the proxy publishes to other duties.
@@ -95,6 +101,22 @@
 	}
 }
 
+// WithRandom sets the source of random numbers in [0, 1) that spread reads over
+// endpoints. It is used by the proxy's thread alone.
+func WithRandom(random func() float64) Option {
+	return func(p *Proxy) {
+		p.random = random
+	}
+}
+
+// WithLinkBudget sets how many bytes a second the instance may exchange with other
+// regions for reads that its own region could serve.
+func WithLinkBudget(bytesPerSecond float64) Option {
+	return func(p *Proxy) {
+		p.linkBudget = bytesPerSecond
+	}
+}
+
 // NewProxy returns a proxy; Start runs it.
 func NewProxy(callers rosemarylb.CallerPort, endpoints rosemarylb.EndpointPort, options ...Option) *Proxy {
 	p := &Proxy{
@@ -111,6 +133,8 @@
 		sessions:    map[rosemarylb.SessionID]*session{},
 		nextTick:    time.Unix(1, 0),
 		quotas:      newQuotas(),
+		random:      rand.Float64,
+		linkBudget:  defaultLinkBudget,
 	}
 	for _, o := range options {
 		o(p)
@@ -162,6 +186,8 @@
 		p.quotas.allowance = p.quotas.allowance.WithKeeperChanged()
 	case QuotaReplied:
 		p.applyQuotaReply(e, now)
+	case LoadsReceived:
+		p.applyLoads(e)
 	case DrainStarted:
 		p.drain = e
 		p.log.Info("drain", "sessions", len(p.sessions))
@@ -181,8 +207,10 @@
 	}
 	for _, g := range p.groups {
 		p.expireQueries(g, now)
+		p.sample(g, now)
 		p.dispatch(g, now)
 	}
+	p.publishShares()
 	p.expireConnections(now)
 	p.rejectWaitingSessions(now)
 	p.decideWaiting(now)
@@ -235,6 +263,9 @@
 		observation: Observation{
 			Group: name,
 		},
+		balancing: balancing{
+			balancer: newBalancer(p.linkBudget),
+		},
 	}
 	p.groups[name] = g
 	return g
--- a/internal/traffic/proxy/session.go
+++ b/internal/traffic/proxy/session.go
@@ -152,6 +152,7 @@
 	}
 	p.lastID++
 	pq := newPendingQuery(p.lastID, s, action.Query, now)
+	p.draw(pq)
 	s.current = pq
 	p.inFlight++
 	if p.nextTick.After(now.Add(busyTickInterval)) {
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -45,6 +45,11 @@
 	sent             bool
 	sentAt           time.Time
 	term             rosemarylb.Term
+	// random are the random numbers that decide where a read goes.
+	random [3]float64
+	// leavesRegion is true if the read was sent to another region though this one
+	// could have served it.
+	leavesRegion bool
 }
 
 // isAbandoned reports whether the session no longer awaits the query.
@@ -136,6 +141,7 @@
 	laggingUntil   time.Time
 	applied        rosemarylb.Position
 	stats          endpointStats
+	load           rosemarylb.EndpointLoad
 	nextRelayAt    time.Time
 	softLimit      int
 	softLimitUntil time.Time
@@ -180,6 +186,7 @@
 	// read-only, at demotedAt.
 	demotedTerm rosemarylb.Term
 	demotedAt   time.Time
+	balancing   balancing
 }
 
 // heldReply is a reply of a primary that is held until a permit covers it.
--- a/internal/traffic/proxy/teams.go
+++ b/internal/traffic/proxy/teams.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"slices"
 	"time"
 
 	"rosemarylb"
@@ -251,39 +250,25 @@
 	return oldest
 }
 
-// teamEndpoints returns the endpoints that may run a query now.
-func (p *Proxy) teamEndpoints(g *group, pq *pendingQuery, now time.Time) []*endpointPool {
-	target := p.primary(g, now)
+// teamTarget returns the endpoint of a query that no other endpoint may run, nil if it is
+// not available now.
+func (p *Proxy) teamTarget(g *group, pq *pendingQuery, now time.Time) *endpointPool {
 	if pq.isRelayed() && !pq.needsPrimary {
-		target = p.relayTarget(pq, now)
+		return p.relayTarget(pq, now)
 	}
-	switch {
-	case target != nil && (pq.isRelayed() || pq.needsPrimary):
-		return []*endpointPool{target}
-	case pq.isRelayed() || pq.needsPrimary:
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(g.pools), func(ep *endpointPool) bool {
-		return !p.mayServeRead(ep, pq, now)
-	})
+	return p.primary(g, now)
 }
 
-// canSendForTeam reports whether a query can be sent now, or has to be rejected. If no
-// connection is available, it opens one to the endpoint with the lowest cost.
+// canSendForTeam reports whether a query that one endpoint has to run can be sent now, or
+// has to be rejected. If no connection is available, it opens one.
 func (p *Proxy) canSendForTeam(g *group, pq *pendingQuery, now time.Time) bool {
-	var cheapest *endpointPool
-	for _, ep := range p.teamEndpoints(g, pq, now) {
-		if _, rejected := p.relayRejection(pq, ep); rejected || p.teamPathTo(ep, pq, now).connection != nil {
-			return true
-		}
-		if cheapest == nil || p.readCost(ep) < p.readCost(cheapest) {
-			cheapest = ep
-		}
-	}
-	if cheapest == nil {
-		_, rejected := p.relayRejection(pq, nil)
+	target := p.teamTarget(g, pq, now)
+	if _, rejected := p.relayRejection(pq, target); rejected || target == nil {
 		return rejected
 	}
-	p.follow(p.teamPathTo(cheapest, pq, now), cheapest, pq.team, now)
-	return false
+	path := p.teamPathTo(target, pq, now)
+	if path.connection == nil {
+		p.follow(path, target, pq.team, now)
+	}
+	return path.connection != nil
 }
--- a/internal/traffic/spill/balancer.go
+++ b/internal/traffic/spill/balancer.go
@@ -133,6 +133,12 @@
 	return b
 }
 
+// HasBudget reports whether the link between regions may be used for reads that could be
+// served in the region of the instance.
+func (b Balancer) HasBudget() bool {
+	return b.available > 0
+}
+
 // Share returns the part of the requests of a rank that go to a distance, 0 for the
 // nearest one.
 func (b Balancer) Share(d Distance, r rosemarylb.Rank) float64 {
