--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -50,6 +50,9 @@
 	// Capacity is the processor time that the instance may use, in thousandths of a
 	// core, 0 if unknown.
 	Capacity int
+	// LinkMegabits is the capacity of the machine's link in megabits a second, 0 if
+	// unknown.
+	LinkMegabits float64
 	// Seeds are the host:port of instances that are asked for the lease holder while the
 	// store does not answer.
 	Seeds []string
@@ -132,7 +135,8 @@
 
 func (i *Instance) start(id Identity, p Peers) error {
 	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithLocation(id.Region, id.Domain),
-		proxy.WithRelays(p.Relays, id.RelayAddress), proxy.WithQuotas(id.Instance, uint64(time.Now().UnixMicro())))
+		proxy.WithRelays(p.Relays, id.RelayAddress), proxy.WithLinkBudget(proxy.LinkBudget(id.LinkMegabits)),
+		proxy.WithQuotas(id.Instance, uint64(time.Now().UnixMicro())))
 	i.keeperRunner = keeperduty.NewRunner(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -243,9 +243,10 @@
 	case opening:
 		ep.nextOpenAt = now.Add(openBackoff)
 		p.recordFailure(ep, now)
-		p.recordUnanswered(ep, now)
 	default:
 		p.recordFailure(ep, now)
+	}
+	if !c.isRelayed() && e.Code == rosemarylb.ReplyDone && (opening || c.current != nil) {
 		p.recordUnanswered(ep, now)
 	}
 	if c.current != nil {
--- a/internal/traffic/proxy/harness_test.go
+++ b/internal/traffic/proxy/harness_test.go
@@ -19,7 +19,7 @@
 // harness simulates the callers, endpoints and keeper of a proxy without a
 // network.
 type harness struct {
-	t          *testing.T
+	t          testing.TB
 	proxy      *Proxy
 	now        time.Time
 	answers    map[rosemarylb.SessionID][]rosemarylb.Reply
@@ -114,7 +114,7 @@
 // newHarness returns a harness with a primary e1 and a replica e2 in the region
 // of the proxy, a permit of term 1 and one session on each route: 1 primary, 2
 // bounded, 3 session.
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	h := &harness{
 		t:        t,
 		now:      time.Unix(100, 0),
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -9,15 +9,14 @@
 const (
 	// maxAttempts is the maximum number of attempts of a query.
 	maxAttempts = 12
-	// costOtherDomain and costOtherRegion are added to the read cost of an
-	// endpoint in another failure domain or region until its latency is known.
+	// costOtherDomain and costOtherRegion are the assumed latency of the network, both
+	// ways, to an endpoint in another failure domain or region.
 	costOtherDomain = 4 * time.Millisecond
 	costOtherRegion = 60 * time.Millisecond
-	// costPrimary is added to the read cost of the primary, which alone serves
-	// writes.
+	// costPrimary is by how much the primary, which alone serves writes, has to finish
+	// a read earlier than other endpoints.
 	costPrimary = 15 * time.Millisecond
-	// initialLatency is the assumed latency of an endpoint that has not replied
-	// yet.
+	// initialLatency is the assumed service time of a group that has not replied yet.
 	initialLatency = 15 * time.Millisecond
 )
 
@@ -101,7 +100,8 @@
 		return p.relayTarget(pq, now)
 	}
 	c := p.chooseRead(g, pq, now)
-	if c.preferred != c.target && c.preferred != nil && !(c.isClose && p.replacesConnection(c.preferred, pq, now)) {
+	spares := c.isClose && c.preferred != nil && p.replacesConnection(c.preferred, pq, now)
+	if c.preferred != c.target && c.preferred != nil && !spares {
 		p.openTo(c.preferred, pq, now)
 	}
 	if c.target != nil {
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -28,9 +28,14 @@
 	// queueLimit is the maximum number of queued queries of a rank in each
 	// queue of a group.
 	queueLimit = 512
-	// defaultLinkBudget is the budget in bytes a second where the link of the machine is
-	// not known: a tenth of 10 Mbit/s.
-	defaultLinkBudget = 125_000
+	// bytesPerMegabit converts megabits to bytes.
+	bytesPerMegabit = 1e6 / 8
+	// linkBudgetPart is the part of the machine's link that reads which leave the region
+	// without need may use.
+	linkBudgetPart = 0.05
+	// maxLinkBudget is the most that they may use, in bytes a second. 40 instances of a
+	// region then take a third of a link of 60 Mbit/s between regions.
+	maxLinkBudget = 0.5 * bytesPerMegabit
 )
 
 var (
@@ -117,6 +122,15 @@
 	}
 }
 
+// LinkBudget returns the budget for WithLinkBudget of a machine whose link has a capacity
+// in megabits a second, 0 for unknown.
+func LinkBudget(megabits float64) float64 {
+	if megabits <= 0 {
+		return maxLinkBudget
+	}
+	return min(megabits*bytesPerMegabit*linkBudgetPart, maxLinkBudget)
+}
+
 // NewProxy returns a proxy; Start runs it.
 func NewProxy(callers rosemarylb.CallerPort, endpoints rosemarylb.EndpointPort, options ...Option) *Proxy {
 	p := &Proxy{
@@ -134,7 +148,7 @@
 		nextTick:    time.Unix(1, 0),
 		quotas:      newQuotas(),
 		random:      rand.Float64,
-		linkBudget:  defaultLinkBudget,
+		linkBudget:  maxLinkBudget,
 	}
 	for _, o := range options {
 		o(p)
--- a/internal/traffic/proxy/reads.go
+++ b/internal/traffic/proxy/reads.go
@@ -91,15 +91,20 @@
 	return ep.group.permit.Primary == ep.spec.ID
 }
 
-// reaches reports whether this instance has a way to an endpoint, or may open one.
+// reaches reports whether this instance has a way to an endpoint, or may open one. An
+// attempt that takes unusually long is none.
 func (p *Proxy) reaches(ep *endpointPool, pq *pendingQuery, now time.Time) bool {
-	if len(ep.connections) > 0 {
-		return true
+	stalled := false
+	for _, c := range ep.connections {
+		if c.state != connectionOpening || !c.openStalled(now) {
+			return true
+		}
+		stalled = true
 	}
 	if p.usesTeams() {
 		return p.teamPathTo(ep, pq, now) != teamPath{}
 	}
-	return ep.canOpen(p.connectionLimit(ep), now)
+	return !stalled && ep.canOpen(p.connectionLimit(ep), now)
 }
 
 // candidate returns what an endpoint is expected to take for a read.
@@ -221,29 +226,44 @@
 }
 
 // otherOption returns the index of the option that takes a read now in place of the
-// preferred one, -1 if it has to wait.
+// preferred one, the nearest first, -1 if it has to wait. The spared primary comes last.
 func (p *Proxy) otherOption(o readOptions, preferred int, pq *pendingQuery, now time.Time) int {
-	wanted, waited := o.candidates[preferred], now.Sub(pq.arrivedAt)
-	return o.earliest(func(i int) bool {
-		c, ep := o.candidates[i], o.endpoints[i]
-		if i == preferred || c.Weight <= 0 && !ep.leads() {
-			return false
-		}
-		extra, allowed := c.FinishAt.Sub(wanted.FinishAt), waited
-		switch {
-		case c.Distance > wanted.Distance:
-			extra += travelPrices[c.Distance]
-		case !ep.leads():
-			allowed += knowledgeMargin
+	for d := range spill.Distance(spill.DistanceCount) {
+		eligible := make([]placement.Candidate, len(o.candidates))
+		for i, c := range o.candidates {
+			eligible[i] = c.Candidate
+			if c.Distance != d || !p.mayReplace(o, i, preferred, pq, now) {
+				eligible[i].Weight = 0
+			}
 		}
-		leavesRegion := c.Distance == spill.DistanceRemote && wanted.Distance < spill.DistanceRemote
-		if leavesRegion && !ep.group.balancing.balancer.HasBudget() {
-			return false
+		if i := placement.Choose(eligible, knowledgeMargin, pq.random[1], pq.random[2]); i >= 0 {
+			return i
 		}
-		return extra <= allowed && p.canTake(ep, pq, now)
+	}
+	return o.earliest(func(i int) bool {
+		return o.endpoints[i].leads() && p.mayReplace(o, i, preferred, pq, now)
 	})
 }
 
+// mayReplace reports whether an option takes a read now in place of the preferred one: it
+// finishes no later than by the time that the read has waited, the price of travel
+// included, or by the margin at the same distance.
+func (p *Proxy) mayReplace(o readOptions, i, preferred int, pq *pendingQuery, now time.Time) bool {
+	c, wanted, ep := o.candidates[i], o.candidates[preferred], o.endpoints[i]
+	extra, allowed := c.FinishAt.Sub(wanted.FinishAt), now.Sub(pq.arrivedAt)
+	switch {
+	case c.Distance > wanted.Distance:
+		extra += travelPrices[c.Distance]
+	case !ep.leads():
+		allowed += knowledgeMargin
+	}
+	leavesRegion := c.Distance == spill.DistanceRemote && wanted.Distance < spill.DistanceRemote
+	if leavesRegion && !ep.group.balancing.balancer.HasBudget() {
+		return false
+	}
+	return i != preferred && extra <= allowed && p.canTake(ep, pq, now)
+}
+
 // numbers returns a function that returns the random numbers of the query, which stay
 // the same until it is tried again.
 func (pq *pendingQuery) numbers() func() float64 {
