--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -47,6 +47,7 @@
 	endpoints       endpointList
 	catalog         rosemarylb.Catalog
 	grantLists      grantLists
+	loads           loadList
 	storeAnsweredAt *duty.Latest[time.Time]
 	tokens          tokenGrants
 }
@@ -234,6 +235,9 @@
 		r.grantLists = r.grantLists.withGrants(record.Token, grants)
 		grants, version = r.grantLists.order(grants), r.grantLists.version()
 	}
+	if holds {
+		r.loads = r.loads.withLoads(r.keeper, r.endpoints, now)
+	}
 	select {
 	case e.Reply <- PermitReply{
 		IsHolder:      holds,
@@ -250,6 +254,8 @@
 		CatalogVersion:   r.keeper.LatestCatalogVersion(),
 		Endpoints:        r.endpoints.endpoints,
 		EndpointsVersion: r.endpoints.version,
+		Loads:            r.loads.loads,
+		LoadsVersion:     r.loads.version,
 		Catalog:          r.catalog,
 	}:
 	default:
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -91,6 +91,7 @@
 	select {
 	case reply := <-replies:
 		encoded := encodePermitReply(withAnsweringHolder(reply, s.witness), request)
+		encodeLoads(encoded, reply, request, s.clock.Now())
 		if reply.IsHolder {
 			s.addCatalog(encoded, reply.Catalog, request.GetCatalogVersion())
 		}
--- a/internal/traffic/proxy/access_test.go
+++ b/internal/traffic/proxy/access_test.go
@@ -33,7 +33,7 @@
 // newTeamHarness returns a harness of an instance that owns all connections, with a team
 // a that holds the key k1, a team b that holds k2, and session 10 on the primary route
 // with the key k1.
-func newTeamHarness(t *testing.T) *harness {
+func newTeamHarness(t testing.TB) *harness {
 	h := newHarness(t)
 	h.handle(CatalogChanged{
 		Catalog: withTeams(2, team("a", "k1"), team("b", "k2")),
--- a/internal/traffic/proxy/connection.go
+++ b/internal/traffic/proxy/connection.go
@@ -246,6 +246,9 @@
 	default:
 		p.recordFailure(ep, now)
 	}
+	if !c.isRelayed() && e.Code == rosemarylb.ReplyDone && (opening || c.current != nil) {
+		p.recordUnanswered(ep, now)
+	}
 	if c.current != nil {
 		p.resolveLost(c.current, now)
 	}
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -111,6 +111,12 @@
 	Reply chan<- explanation.Explanation
 }
 
+// LoadsReceived carries the known loads of endpoints, in place of all former ones.
+type LoadsReceived struct {
+	// Loads are the loads.
+	Loads []rosemarylb.EndpointLoad
+}
+
 func (SessionOpened) proxyEvent()        {}
 func (PeersChanged) proxyEvent()         {}
 func (QueryReceived) proxyEvent()        {}
@@ -125,3 +131,4 @@
 func (KeeperChanged) proxyEvent()        {}
 func (QuotaReplied) proxyEvent()         {}
 func (ExplanationRequested) proxyEvent() {}
+func (LoadsReceived) proxyEvent()        {}
--- a/internal/traffic/proxy/explain.go
+++ b/internal/traffic/proxy/explain.go
@@ -42,7 +42,7 @@
 	pq := p.explainedQuery(r, route, team, now)
 	g, found := p.groups[route.Group]
 	if !found {
-		g = newGroup(route.Group)
+		g = p.newGroup(route.Group)
 	}
 	e = e.WithCandidates(string(g.name), p.explainCandidates(g, pq, now))
 	switch {
@@ -186,19 +186,11 @@
 	if kind != queueReads {
 		return p.primary(g, now)
 	}
-	if ep := p.availableForRead(g, pq, now); ep != nil {
-		return ep
+	c := p.chooseRead(g, pq, now)
+	if c.target == nil {
+		return c.preferred
 	}
-	endpoints := p.teamEndpoints(g, pq, now)
-	if !p.usesTeams() {
-		reachable := slices.DeleteFunc(slices.Clone(endpoints), func(ep *endpointPool) bool {
-			return p.explainPath(ep, pq, now).connection == ""
-		})
-		if len(reachable) > 0 {
-			endpoints = reachable
-		}
-	}
-	return p.cheapest(endpoints)
+	return c.target
 }
 
 // explainPath returns how a query would reach an endpoint that may serve it.
@@ -254,10 +246,20 @@
 	}
 }
 
+// servingEndpoints returns the endpoints that may run a query now.
+func (p *Proxy) servingEndpoints(g *group, pq *pendingQuery, now time.Time) []*endpointPool {
+	return slices.DeleteFunc(slices.Clone(g.pools), func(ep *endpointPool) bool {
+		if pq.needsPrimary {
+			return ep != p.primary(g, now)
+		}
+		return !p.mayServeRead(ep, pq, now)
+	})
+}
+
 // explainCandidates describes the endpoints of a group with regard to a query, those that
 // serve it first, in the order of their cost.
 func (p *Proxy) explainCandidates(g *group, pq *pendingQuery, now time.Time) []explanation.Candidate {
-	serving := p.teamEndpoints(g, pq, now)
+	serving := p.servingEndpoints(g, pq, now)
 	var candidates []explanation.Candidate
 	for _, ep := range g.pools {
 		c := explanation.Candidate{
@@ -265,7 +267,7 @@
 			Role:       "replica",
 			Domain:     string(ep.spec.Domain),
 			Region:     string(ep.spec.Region),
-			CostMillis: float64(p.readCost(ep).Microseconds()) / 1000,
+			CostMillis: float64(p.expectedFinish(ep, now).Sub(now).Microseconds()) / 1000,
 		}
 		if ep.spec.ID == g.permit.Primary {
 			c.Role = "primary"
--- a/internal/traffic/proxy/explain_test.go
+++ b/internal/traffic/proxy/explain_test.go
@@ -88,7 +88,7 @@
 func TestExplanationNamesTheEndpointOfTheRequest(t *testing.T) {
 	tests := []struct {
 		name    string
-		harness func(*testing.T) *harness
+		harness func(testing.TB) *harness
 		session rosemarylb.SessionID
 		team    rosemarylb.TeamName
 		prepare func(*harness)
@@ -122,7 +122,7 @@
 		}},
 		{"team at an owner", newTeamHarness, 10, "a", func(*harness) {}},
 		{"team with a connection", newTeamHarness, 10, "a", func(h *harness) { h.serve(10, explanation.KindWrite) }},
-		{"limit used by other teams", func(t *testing.T) *harness { return newManyTeamsHarness(t, 12) }, 111, "t11", func(h *harness) {
+		{"limit used by other teams", func(t testing.TB) *harness { return newManyTeamsHarness(t, 12) }, 111, "t11", func(h *harness) {
 			for i := range rosemarylb.SessionID(11) {
 				h.serve(100+i, explanation.KindWrite)
 			}
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -9,15 +9,14 @@
 const (
 	// maxAttempts is the maximum number of attempts of a query.
 	maxAttempts = 12
-	// costOtherDomain and costOtherRegion are added to the read cost of an
-	// endpoint in another failure domain or region until its latency is known.
+	// costOtherDomain and costOtherRegion are the assumed latency of the network, both
+	// ways, to an endpoint in another failure domain or region.
 	costOtherDomain = 4 * time.Millisecond
 	costOtherRegion = 60 * time.Millisecond
-	// costPrimary is added to the read cost of the primary, which alone serves
-	// writes.
+	// costPrimary is by how much the primary, which alone serves writes, has to finish
+	// a read earlier than other endpoints.
 	costPrimary = 15 * time.Millisecond
-	// initialLatency is the assumed latency of an endpoint that has not replied
-	// yet.
+	// initialLatency is the assumed service time of a group that has not replied yet.
 	initialLatency = 15 * time.Millisecond
 )
 
@@ -62,27 +61,25 @@
 	return ep
 }
 
-// canSendRead reports whether a connection of the group can take a read now. If
-// none can, it opens another.
-func (p *Proxy) canSendRead(g *group, now time.Time) bool {
-	var best *endpointPool
-	for _, ep := range g.pools {
-		if !p.acceptsReads(ep, now) {
-			continue
-		}
-		if ep.count(connectionIdle) > 0 || p.pipelineTarget(ep) != nil {
-			return true
-		}
-		if ep.canOpen(p.connectionLimit(ep), now) && (best == nil || p.readCost(ep) < p.readCost(best)) {
-			best = ep
-		}
+// canSendRead reports whether a read can be sent now. If not, it opens a connection to the
+// preferred endpoint. Where connections belong to no team, a read that no endpoint may
+// serve counts as sent, so that those behind it do not wait.
+func (p *Proxy) canSendRead(g *group, pq *pendingQuery, now time.Time) bool {
+	c := p.chooseRead(g, pq, now)
+	if c.target != nil {
+		return true
+	}
+	if c.preferred != nil {
+		p.openTo(c.preferred, pq, now)
+	}
+	if p.usesTeams() {
+		return false
 	}
-	if best != nil {
-		p.openDirect(best, now)
-	} else if primary := p.primary(g, now); primary != nil {
+	primary := p.primary(g, now)
+	if primary != nil && (c.preferred == nil || !c.preferred.canOpen(p.connectionLimit(c.preferred), now)) {
 		p.openRelay(primary, now)
 	}
-	return false
+	return c.preferred == nil
 }
 
 // acceptsReads reports whether reads may be sent to an endpoint now.
@@ -96,33 +93,28 @@
 	return p.acceptsReads(ep, now) && (!needsPrimary || ep.spec.ID == ep.group.permit.Primary)
 }
 
-// chooseReadEndpoint returns the available endpoint with the lowest read cost
-// that may serve a read, nil if there is none.
+// chooseReadEndpoint returns the endpoint that takes a read now, nil if there is none. It
+// opens a connection to the preferred endpoint if that has none free.
 func (p *Proxy) chooseReadEndpoint(g *group, pq *pendingQuery, now time.Time) *endpointPool {
 	if pq.isRelayed() {
 		return p.relayTarget(pq, now)
 	}
-	best := p.availableForRead(g, pq, now)
-	p.openNearer(g, pq, best, now)
-	if best == nil && len(pq.excluded) > 0 {
-		pq.excluded = nil
+	c := p.chooseRead(g, pq, now)
+	spares := c.isClose && c.preferred != nil && p.replacesConnection(c.preferred, pq, now)
+	if c.preferred != c.target && c.preferred != nil && !spares {
+		p.openTo(c.preferred, pq, now)
 	}
-	return best
+	if c.target != nil {
+		p.recordPlacement(pq, c, now)
+	}
+	return c.target
 }
 
-// availableForRead returns the endpoint with the lowest read cost that has a connection
-// available and may serve a read, nil if there is none.
-func (p *Proxy) availableForRead(g *group, pq *pendingQuery, now time.Time) *endpointPool {
-	var best *endpointPool
-	for _, ep := range g.pools {
-		if !p.canTake(ep, pq, now) || !p.mayServeRead(ep, pq, now) {
-			continue
-		}
-		if best == nil || p.readCost(ep) < p.readCost(best) {
-			best = ep
-		}
-	}
-	return best
+// replacesConnection reports whether the connection that a query needs to an endpoint may
+// take the place of one of another team. It is not worth that where another endpoint
+// serves the query as well.
+func (p *Proxy) replacesConnection(ep *endpointPool, pq *pendingQuery, now time.Time) bool {
+	return p.usesTeams() && p.teamPathTo(ep, pq, now).openDirect
 }
 
 // canTake reports whether an endpoint has a connection on which a query can be sent now.
@@ -152,20 +144,6 @@
 	return now.Before(ep.laggingUntil) && ep.applied.Less(required)
 }
 
-// openNearer opens connections to endpoints without idle connections whose read
-// cost is lower than that of the best available one by more than
-// initialLatency.
-func (p *Proxy) openNearer(g *group, pq *pendingQuery, best *endpointPool, now time.Time) {
-	for _, ep := range g.pools {
-		if ep == best || pq.excludes(ep.spec.ID) || !p.acceptsReads(ep, now) || p.canTake(ep, pq, now) {
-			continue
-		}
-		if best == nil || p.readCost(ep)+initialLatency < p.readCost(best) {
-			p.openTo(ep, pq, now)
-		}
-	}
-}
-
 // openTo opens a connection to an endpoint for a query.
 func (p *Proxy) openTo(ep *endpointPool, pq *pendingQuery, now time.Time) {
 	if p.usesTeams() {
@@ -175,24 +153,6 @@
 	p.openDirect(ep, now)
 }
 
-// readCost returns the expected time for an endpoint to answer a read.
-func (p *Proxy) readCost(ep *endpointPool) time.Duration {
-	cost := ep.stats.latency
-	if cost == 0 {
-		cost = initialLatency
-		switch {
-		case ep.spec.Region != p.region:
-			cost += costOtherRegion
-		case ep.spec.Domain != p.domain:
-			cost += costOtherDomain
-		}
-	}
-	if ep.group.permit.Primary == ep.spec.ID {
-		cost += costPrimary
-	}
-	return cost + cost*time.Duration(ep.count(connectionBusy))/time.Duration(max(ep.spec.Slots, 1))
-}
-
 // place runs a query on the most suitable idle connection to an endpoint, or
 // pipelines it behind another read.
 func (p *Proxy) place(pq *pendingQuery, ep *endpointPool, now time.Time) {
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"rosemarylb"
@@ -27,6 +28,14 @@
 	// queueLimit is the maximum number of queued queries of a rank in each
 	// queue of a group.
 	queueLimit = 512
+	// bytesPerMegabit converts megabits to bytes.
+	bytesPerMegabit = 1e6 / 8
+	// linkBudgetPart is the part of the machine's link that reads which leave the region
+	// without need may use.
+	linkBudgetPart = 0.05
+	// maxLinkBudget is the most that they may use, in bytes a second. 40 instances of a
+	// region then take a third of a link of 60 Mbit/s between regions.
+	maxLinkBudget = 0.5 * bytesPerMegabit
 )
 
 var (
@@ -63,6 +72,8 @@
 	inFlight        int
 	drain           DrainStarted
 	quotas          quotas
+	random          func() float64
+	linkBudget      float64
 }
 
 // Status is the state that the proxy publishes to other duties.
@@ -95,6 +106,31 @@
 	}
 }
 
+// WithRandom sets the source of random numbers in [0, 1) that spread reads over
+// endpoints. It is used by the proxy's thread alone.
+func WithRandom(random func() float64) Option {
+	return func(p *Proxy) {
+		p.random = random
+	}
+}
+
+// WithLinkBudget sets how many bytes a second the instance may exchange with other
+// regions for reads that its own region could serve.
+func WithLinkBudget(bytesPerSecond float64) Option {
+	return func(p *Proxy) {
+		p.linkBudget = bytesPerSecond
+	}
+}
+
+// LinkBudget returns the budget for WithLinkBudget of a machine whose link has a capacity
+// in megabits a second, 0 for unknown.
+func LinkBudget(megabits float64) float64 {
+	if megabits <= 0 {
+		return maxLinkBudget
+	}
+	return min(megabits*bytesPerMegabit*linkBudgetPart, maxLinkBudget)
+}
+
 // NewProxy returns a proxy; Start runs it.
 func NewProxy(callers rosemarylb.CallerPort, endpoints rosemarylb.EndpointPort, options ...Option) *Proxy {
 	p := &Proxy{
@@ -111,6 +147,8 @@
 		sessions:    map[rosemarylb.SessionID]*session{},
 		nextTick:    time.Unix(1, 0),
 		quotas:      newQuotas(),
+		random:      rand.Float64,
+		linkBudget:  maxLinkBudget,
 	}
 	for _, o := range options {
 		o(p)
@@ -168,6 +206,8 @@
 		p.applyQuotaReply(e, now)
 	case ExplanationRequested:
 		e.Reply <- p.explain(e.Request, now)
+	case LoadsReceived:
+		p.applyLoads(e)
 	case DrainStarted:
 		p.drain = e
 		p.log.Info("drain", "sessions", len(p.sessions))
@@ -187,8 +227,10 @@
 	}
 	for _, g := range p.groups {
 		p.expireQueries(g, now)
+		p.sample(g, now)
 		p.dispatch(g, now)
 	}
+	p.publishShares()
 	p.expireConnections(now)
 	p.rejectWaitingSessions(now)
 	p.decideWaiting(now)
@@ -234,12 +276,13 @@
 	if g, found := p.groups[name]; found {
 		return g
 	}
-	g := newGroup(name)
+	g := p.newGroup(name)
 	p.groups[name] = g
 	return g
 }
 
-func newGroup(name rosemarylb.DatabaseName) *group {
+// newGroup returns a group that is not registered.
+func (p *Proxy) newGroup(name rosemarylb.DatabaseName) *group {
 	return &group{
 		name:   name,
 		queues: newQueues(),
@@ -247,6 +290,9 @@
 		observation: Observation{
 			Group: name,
 		},
+		balancing: balancing{
+			balancer: newBalancer(p.linkBudget),
+		},
 	}
 }
 
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -122,6 +122,7 @@
 		},
 		Caller:        string(pq.team),
 		Rank:          pq.route.Rank,
+		Weight:        p.weightOf(pq.team),
 		ArrivedAt:     pq.arrivedAt,
 		QueueDeadline: until,
 		Deadline:      pq.deadline,
--- a/internal/traffic/proxy/relay_test.go
+++ b/internal/traffic/proxy/relay_test.go
@@ -11,7 +11,7 @@
 // newRemotePrimaryHarness returns a harness whose primary is in another region,
 // with a limit of one direct connection and a peer in the region of the
 // primary.
-func newRemotePrimaryHarness(t *testing.T) *harness {
+func newRemotePrimaryHarness(t testing.TB) *harness {
 	h := newHarness(t)
 	h.proxy.relayPort = h
 	h.handle(ShareChanged{
--- a/internal/traffic/proxy/teams.go
+++ b/internal/traffic/proxy/teams.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"slices"
 	"time"
 
 	"rosemarylb"
@@ -39,6 +38,17 @@
 	return p.catalog.Authenticates()
 }
 
+// weightOf returns the weight of a team in the queues, by the configuration of this
+// instance. Callers without a team, and teams that are not configured, have the usual
+// one.
+func (p *Proxy) weightOf(name rosemarylb.TeamName) int {
+	t, found := p.catalog.Team(name)
+	if !found {
+		t.Priority = rosemarylb.UsualPriority
+	}
+	return t.Weight()
+}
+
 // ownersFor returns the owners of the connections to an endpoint.
 func (p *Proxy) ownersFor(ep *endpointPool) *teamOwners {
 	t, connections := &ep.teamOwners, ep.usableConnections()
@@ -250,48 +260,25 @@
 	return oldest
 }
 
-// teamEndpoints returns the endpoints that may run a query now.
-func (p *Proxy) teamEndpoints(g *group, pq *pendingQuery, now time.Time) []*endpointPool {
-	target := p.primary(g, now)
+// teamTarget returns the endpoint of a query that no other endpoint may run, nil if it is
+// not available now.
+func (p *Proxy) teamTarget(g *group, pq *pendingQuery, now time.Time) *endpointPool {
 	if pq.isRelayed() && !pq.needsPrimary {
-		target = p.relayTarget(pq, now)
-	}
-	switch {
-	case target != nil && (pq.isRelayed() || pq.needsPrimary):
-		return []*endpointPool{target}
-	case pq.isRelayed() || pq.needsPrimary:
-		return nil
+		return p.relayTarget(pq, now)
 	}
-	return slices.DeleteFunc(slices.Clone(g.pools), func(ep *endpointPool) bool {
-		return !p.mayServeRead(ep, pq, now)
-	})
+	return p.primary(g, now)
 }
 
-// canSendForTeam reports whether a query can be sent now, or has to be rejected. If no
-// connection is available, it opens one to the endpoint with the lowest cost.
+// canSendForTeam reports whether a query that one endpoint has to run can be sent now, or
+// has to be rejected. If no connection is available, it opens one.
 func (p *Proxy) canSendForTeam(g *group, pq *pendingQuery, now time.Time) bool {
-	endpoints := p.teamEndpoints(g, pq, now)
-	for _, ep := range endpoints {
-		if _, rejected := p.relayRejection(pq, ep); rejected || p.teamPathTo(ep, pq, now).connection != nil {
-			return true
-		}
-	}
-	cheapest := p.cheapest(endpoints)
-	if cheapest == nil {
-		_, rejected := p.relayRejection(pq, nil)
+	target := p.teamTarget(g, pq, now)
+	if _, rejected := p.relayRejection(pq, target); rejected || target == nil {
 		return rejected
 	}
-	p.follow(p.teamPathTo(cheapest, pq, now), cheapest, pq.team, now)
-	return false
-}
-
-// cheapest returns the endpoint with the lowest read cost, nil if there is none.
-func (p *Proxy) cheapest(endpoints []*endpointPool) *endpointPool {
-	var best *endpointPool
-	for _, ep := range endpoints {
-		if best == nil || p.readCost(ep) < p.readCost(best) {
-			best = ep
-		}
+	path := p.teamPathTo(target, pq, now)
+	if path.connection == nil {
+		p.follow(path, target, pq.team, now)
 	}
-	return best
+	return path.connection != nil
 }
--- a/internal/traffic/proxy/teams_test.go
+++ b/internal/traffic/proxy/teams_test.go
@@ -38,7 +38,7 @@
 
 // newManyTeamsHarness returns a team harness with the given number of further teams, a
 // session of each on the primary route from session 100 on.
-func newManyTeamsHarness(t *testing.T, count int) *harness {
+func newManyTeamsHarness(t testing.TB, count int) *harness {
 	h := newTeamHarness(t)
 	var teams []rosemarylb.Team
 	for i := range count {
@@ -114,7 +114,7 @@
 
 // ownersHarness returns a team harness of an instance that owns no connections, beside
 // three others in its domain.
-func ownersHarness(t *testing.T) *harness {
+func ownersHarness(t testing.TB) *harness {
 	h := newTeamHarness(t)
 	h.proxy.address = "self"
 	var peers []rosemarylb.RelayPeer
