--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -175,6 +175,22 @@
 				Endpoints: endpoints,
 			})
 		}))
+	i.startRequesters(id, p, instance.WithStoreReports(storeAnsweredAt, notification))
+	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
+	if err != nil {
+		return err
+	}
+	i.cleanups = append(i.cleanups, stopRelays)
+	stopCallers, err := p.ListenCallers(i.proxy)
+	if err != nil {
+		return err
+	}
+	i.cleanups = append(i.cleanups, stopCallers)
+	return nil
+}
+
+// startRequesters starts the duties that ask other instances for permits and tokens.
+func (i *Instance) startRequesters(id Identity, p Peers, storeReports instance.PermitRequesterOption) {
 	keeperAddress := duty.NewLatest(instance.KeeperAddress{})
 	relayPeer := rosemarylb.RelayPeer{
 		Address: id.RelayAddress,
@@ -188,21 +204,10 @@
 		instance.WithSeeds(id.Seeds),
 		instance.WithMeter(p.Meter),
 		instance.WithCatalogExchange(i.catalogs.Latest(), i.offerCatalog("keeper")),
-		instance.WithStoreReports(storeAnsweredAt, notification),
+		storeReports,
 		instance.WithKeeperAddress(keeperAddress)).Start())
 	i.addDuty(instance.NewQuotaRequester(i.clock, i.proxy, keeperAddress).Start())
 	i.addDuty(instance.NewDeputyRequester(i.clock, i.proxy).Start())
-	stopRelays, err := p.ListenRelays(i.proxy.RelaySink())
-	if err != nil {
-		return err
-	}
-	i.cleanups = append(i.cleanups, stopRelays)
-	stopCallers, err := p.ListenCallers(i.proxy)
-	if err != nil {
-		return err
-	}
-	i.cleanups = append(i.cleanups, stopCallers)
-	return nil
 }
 
 // publishCatalog passes a later version of the configuration to the duties that use it.
--- a/internal/traffic/proxy/deputy.go
+++ b/internal/traffic/proxy/deputy.go
@@ -37,9 +37,6 @@
 	Reply chan<- quota.Reply
 }
 
-func (DeputyReplied) proxyEvent()   {}
-func (DeputyRequested) proxyEvent() {}
-
 // DeputyRequests returns the ring of requests to deputies.
 func (p *Proxy) DeputyRequests() *duty.Ring[DeputyRequest] {
 	return p.quotas.deputyRequests
--- a/internal/traffic/proxy/event.go
+++ b/internal/traffic/proxy/event.go
@@ -128,7 +128,5 @@
 func (CatalogChanged) proxyEvent()       {}
 func (PermitsReceived) proxyEvent()      {}
 func (ShareChanged) proxyEvent()         {}
-func (KeeperChanged) proxyEvent()        {}
-func (QuotaReplied) proxyEvent()         {}
 func (ExplanationRequested) proxyEvent() {}
 func (LoadsReceived) proxyEvent()        {}
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -196,14 +196,8 @@
 		p.applyPeers(e.Peers)
 	case ShareChanged:
 		p.share = e.Share
-	case KeeperChanged:
-		p.quotas.allowance = p.quotas.allowance.WithKeeperChanged()
-	case DeputyReplied:
-		p.applyDeputyReply(e, now)
-	case DeputyRequested:
-		p.answerDeputyRequest(e, now)
-	case QuotaReplied:
-		p.applyQuotaReply(e, now)
+	case QuotaEvent:
+		p.handleQuotaEvent(e, now)
 	case ExplanationRequested:
 		e.Reply <- p.explain(e.Request, now)
 	case LoadsReceived:
--- a/internal/traffic/quota/deputy.go
+++ b/internal/traffic/quota/deputy.go
@@ -102,10 +102,13 @@
 	}
 	b := a.balance(team)
 	lent := 0
-	for admitted := true; lent < n; lent++ {
-		if b, admitted = b.withStandingUsed(now); !admitted {
+	for lent < n {
+		next, admitted := b.withStandingUsed(now)
+		b = next
+		if !admitted {
 			break
 		}
+		lent++
 	}
 	a.balances = a.balances.Set(string(team), &b)
 	return a, lent
