Connect to other endpoints when the preferred one takes no connection

A read waited for a busy connection of its endpoint at the connection limit while another endpoint that was worth the way had room but no connection yet, since connections were opened for the preferred one alone.

--- a/internal/process/hosted/hosted.go
+++ b/internal/process/hosted/hosted.go
@@ -133,10 +133,17 @@
 	i.cleanups = append(i.cleanups, stop)
 }
 
-func (i *Instance) start(id Identity, p Peers) error {
-	i.proxy = proxy.NewProxy(p.Callers, p.Endpoints, proxy.WithLogger(i.log), proxy.WithLocation(id.Region, id.Domain),
-		proxy.WithRelays(p.Relays, id.RelayAddress), proxy.WithLinkBudget(proxy.LinkBudget(id.LinkMegabits)),
+func newProxy(id Identity, p Peers, l *slog.Logger) *proxy.Proxy {
+	return proxy.NewProxy(p.Callers, p.Endpoints,
+		proxy.WithLogger(l),
+		proxy.WithLocation(id.Region, id.Domain),
+		proxy.WithRelays(p.Relays, id.RelayAddress),
+		proxy.WithLinkBudget(proxy.LinkBudget(id.LinkMegabits)),
 		proxy.WithQuotas(id.Instance, uint64(time.Now().UnixMicro())))
+}
+
+func (i *Instance) start(id Identity, p Peers) error {
+	i.proxy = newProxy(id, p, i.log)
 	i.keeperRunner = keeperduty.NewRunner(keeper.NewKeeper(id.Instance, id.Process, id.InstanceAddress), i.clock,
 		keeperduty.WithLogger(i.log))
 	p.SetEndpointSink(i.proxy)
--- a/internal/traffic/proxy/placement.go
+++ b/internal/traffic/proxy/placement.go
@@ -72,6 +72,9 @@
 	if c.preferred != nil {
 		p.openTo(c.preferred, pq, now)
 	}
+	for _, ep := range c.others {
+		p.openTo(ep, pq, now)
+	}
 	if p.usesTeams() {
 		return false
 	}
--- a/internal/traffic/proxy/reads.go
+++ b/internal/traffic/proxy/reads.go
@@ -183,6 +183,9 @@
 	target *endpointPool
 	// preferred is the endpoint that the read is to go to, nil if none may serve it.
 	preferred *endpointPool
+	// others are the endpoints to connect to for a read that has to wait, as the
+	// preferred one takes no further connection.
+	others []*endpointPool
 	// leavesRegion is true if the read goes to another region though an endpoint in
 	// this one may serve it.
 	leavesRegion bool
@@ -213,6 +216,7 @@
 		t = p.otherOption(o, i, pq, now)
 	}
 	if t < 0 {
+		c.others = p.replacements(o, i, pq, now)
 		return c
 	}
 	c.target = o.endpoints[t]
@@ -232,7 +236,7 @@
 		eligible := make([]placement.Candidate, len(o.candidates))
 		for i, c := range o.candidates {
 			eligible[i] = c.Candidate
-			if c.Distance != d || !p.mayReplace(o, i, preferred, pq, now) {
+			if c.Distance != d || !p.mayReplace(o, i, preferred, pq, now) || !p.canTake(o.endpoints[i], pq, now) {
 				eligible[i].Weight = 0
 			}
 		}
@@ -241,12 +245,33 @@
 		}
 	}
 	return o.earliest(func(i int) bool {
-		return o.endpoints[i].leads() && p.mayReplace(o, i, preferred, pq, now)
+		ep := o.endpoints[i]
+		return ep.leads() && p.mayReplace(o, i, preferred, pq, now) && p.canTake(ep, pq, now)
 	})
 }
 
-// mayReplace reports whether an option takes a read now in place of the preferred one: it
-// finishes no later than by the time that the read has waited, the price of travel
+// replacements returns the endpoints in use that are worth to take a read in place of the
+// preferred one, if that takes no further connection now.
+func (p *Proxy) replacements(o readOptions, preferred int, pq *pendingQuery, now time.Time) []*endpointPool {
+	ep := o.endpoints[preferred]
+	opens := ep.canOpen(p.connectionLimit(ep), now)
+	if p.usesTeams() {
+		opens = p.teamPathTo(ep, pq, now) != teamPath{}
+	}
+	if opens || ep.count(connectionOpening) > 0 {
+		return nil
+	}
+	var others []*endpointPool
+	for i, other := range o.endpoints {
+		if o.candidates[i].Weight > 0 && p.mayReplace(o, i, preferred, pq, now) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// mayReplace reports whether an option is worth to take a read in place of the preferred
+// one: it finishes no later than by the time that the read has waited, the price of travel
 // included, or by the margin at the same distance.
 func (p *Proxy) mayReplace(o readOptions, i, preferred int, pq *pendingQuery, now time.Time) bool {
 	c, wanted, ep := o.candidates[i], o.candidates[preferred], o.endpoints[i]
@@ -261,7 +286,7 @@
 	if leavesRegion && !ep.group.balancing.balancer.HasBudget() {
 		return false
 	}
-	return i != preferred && extra <= allowed && p.canTake(ep, pq, now)
+	return i != preferred && extra <= allowed
 }
 
 // numbers returns a function that returns the random numbers of the query, which stay
