Ask the holder that the record names

After an outage of the store, instances read a record that named the new holder and took permits from it, but asked that holder only when their watch of the record ended: one that began while the store was silent waits 5.5 s. The record that is read for permits now names the holder to ask as well.

--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -331,6 +331,14 @@
 		pr.log.Error("the keeper's record cannot be read", "revision", o.Version.Revision, "error", err)
 		return false
 	}
+	if r.Token > pr.holderHint.token && r.Address != "" {
+		// The watch of the record may still wait for an answer of a store that was silent
+		// when it began.
+		pr.holderHint = leaseHolder{
+			address: r.Address,
+			token:   r.Token,
+		}
+	}
 	if !pr.shareKnown && r.Members > 0 {
 		pr.proxyRing.Put(proxy.ShareChanged{
 			Share: rosemarylb.ConnectionShare{
