Let buckets fill by the tolerance while an instance is silent

The standing rate of a silent deputy took nine tenths of its teams' rate from all others. What operators tolerate now fills the bucket meanwhile, and what the silent instance may still run is taken from the limit of the window.

--- a/internal/traffic/quota/bucket.go
+++ b/internal/traffic/quota/bucket.go
@@ -59,7 +59,7 @@
 		return b
 	}
 	rate := b.rate
-	if !b.settledAt.Before(b.steadyFrom) && !b.settledAt.Before(b.formerUntil) && usedMillis == 0 {
+	if !b.settledAt.Before(b.steadyFrom) && !b.settledAt.Before(b.formerUntil) {
 		rate = b.tolerance.fillRate(b.rate, b.burst)
 	}
 	rate = max(rate-float64(usedMillis)/1000, 0)
@@ -113,7 +113,7 @@
 func (b bucket) withGrant(n int, now time.Time) (bucket, int) {
 	b.counter = b.counter.withGrants(0, now)
 	ceiling := b.ceiling(now)
-	granted := min(n, int(b.tokens), int(ceiling-b.counter.sum))
+	granted := min(n, int(b.tokens), int(ceiling-b.counter.sum-b.silentOperations()))
 	if granted <= 0 {
 		return b, 0
 	}
@@ -124,6 +124,16 @@
 	return b, granted
 }
 
+// silentOperations is the highest number of operations that silent instances may run at
+// their standing rates. Without a tolerance the rate at which the bucket fills accounts
+// for them alone.
+func (b bucket) silentOperations() int64 {
+	if b.tolerance == (Tolerance{}) {
+		return 0
+	}
+	return int64(float64(b.silentMillis) / 1000 * standingLifetime.Seconds())
+}
+
 // ceiling is the highest number of grants in the windows that end now. For one window
 // after a change of the limits it is that of the higher ones.
 func (b bucket) ceiling(now time.Time) int64 {
