Queue: drop two comparisons that are always true

A caller that is not waiting is ahead of the clock or unknown, and an unknown one is at the clock; a mutation showed that nothing depends on them. go test -race ./internal/traffic/... ./internal/experiment/flood ./internal/experiment/contention ./internal/process/shape passed.

--- a/internal/experiment/contention/contention_test.go
+++ b/internal/experiment/contention/contention_test.go
@@ -10,6 +10,7 @@
 
 	"rosemarylb"
 
+	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 )
 
@@ -197,7 +198,7 @@
 	}
 	d := xml.NewDecoder(&out)
 	for {
-		if _, err := d.Token(); err == io.EOF {
+		if _, err := d.Token(); errors.Is(err, io.EOF) {
 			break
 		} else if err != nil {
 			t.Fatal(err)
--- a/internal/traffic/queue/rank_queue.go
+++ b/internal/traffic/queue/rank_queue.go
@@ -105,7 +105,6 @@
 	q.sequence++
 	c := q.caller(r.Caller)
 	if !c.isWaiting() {
-		c.reached = max(c.reached, q.clock)
 		c.order = q.sequence
 	}
 	c.weight = max(r.Weight, 1)
@@ -187,9 +186,6 @@
 // withService replaces the charge of a caller for a request by its service time.
 func (q rankQueue) withService(r rosemarylb.Request, service time.Duration) rankQueue {
 	c := q.caller(r.Caller)
-	if !c.isWaiting() {
-		c.reached = max(c.reached, q.clock)
-	}
 	c.reached = min(c.reached.after(service-turnCharge, max(r.Weight, 1)), q.clock+virtualTime(maxLead))
 	return q.withCaller(c)
 }
