Keep standing rates in force for 8 s

Standing rates ended after 3 s, so from then on all operations of teams with a quota were refused (3,100 a second). They now last for 8 s.

--- a/internal/traffic/quota/bucket.go
+++ b/internal/traffic/quota/bucket.go
@@ -125,13 +125,13 @@
 }
 
 // silentOperations is the highest number of operations that silent instances may run at
-// their standing rates. Without a tolerance the rate at which the bucket fills accounts
+// their standing rates in a window. Without a tolerance the rate at which the bucket fills accounts
 // for them alone.
 func (b bucket) silentOperations() int64 {
 	if b.tolerance == (Tolerance{}) {
 		return 0
 	}
-	return int64(float64(b.silentMillis) / 1000 * standingLifetime.Seconds())
+	return int64(float64(b.silentMillis) / 1000 * min(standingLifetime, window+tokenLifetime).Seconds())
 }
 
 // ceiling is the highest number of grants in the windows that end now. For one window
--- a/internal/traffic/quota/quota.go
+++ b/internal/traffic/quota/quota.go
@@ -17,8 +17,9 @@
 	// grants, by 8 % of the rate.
 	tokenLifetime = 400 * time.Millisecond
 	// standingLifetime is how long a standing rate is valid, counted from before its
-	// request was sent.
-	standingLifetime = 3 * time.Second
+	// request was sent. It covers the loss of the keeper while the store does not answer,
+	// in which no other instance can take the lease.
+	standingLifetime = 8 * time.Second
 	// RequestTimeout is how long an instance accepts the reply to a request.
 	RequestTimeout = 250 * time.Millisecond
 	// standingDelay is how long after the last answered request was sent an instance
