Keep a list of the revoked sessions that are still open

Each tick of the proxy, up to 200 a second, went through all sessions to find revoked ones whose callers left a transaction open. It now looks at those alone. Behaviour is the same: go test -race ./internal/traffic/proxy ./internal/process/shape passed, the linter reports nothing there.

--- a/internal/traffic/proxy/access.go
+++ b/internal/traffic/proxy/access.go
@@ -78,6 +78,7 @@
 		return
 	}
 	p.releasePinned(s, now)
+	p.revoked[s.state.ID()] = s
 }
 
 // isHeld reports whether the reply to a query waits for a permit.
@@ -98,8 +99,12 @@
 // closeRevoked closes the revoked sessions whose callers left a transaction open and
 // send nothing.
 func (p *Proxy) closeRevoked(now time.Time) {
-	for _, s := range p.sessions {
-		if s.access.isRevoked() && s.current == nil && now.After(s.access.revokedAt.Add(p.idleLimit())) {
+	for id, s := range p.revoked {
+		if p.sessions[id] != s {
+			delete(p.revoked, id)
+			continue
+		}
+		if s.current == nil && now.After(s.access.revokedAt.Add(p.idleLimit())) {
 			p.disconnect(s, now)
 		}
 	}
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -56,12 +56,14 @@
 	ring         *duty.Ring[Event]
 	status       *duty.Latest[Status]
 
-	catalog         rosemarylb.Catalog
-	share           rosemarylb.ConnectionShare
-	groups          map[rosemarylb.DatabaseName]*group
-	pools           map[rosemarylb.EndpointID]*endpointPool
-	connections     map[rosemarylb.ConnectionID]*connection
-	sessions        map[rosemarylb.SessionID]*session
+	catalog     rosemarylb.Catalog
+	share       rosemarylb.ConnectionShare
+	groups      map[rosemarylb.DatabaseName]*group
+	pools       map[rosemarylb.EndpointID]*endpointPool
+	connections map[rosemarylb.ConnectionID]*connection
+	sessions    map[rosemarylb.SessionID]*session
+	// revoked are the revoked sessions whose callers have left a transaction open.
+	revoked         map[rosemarylb.SessionID]*session
 	endpointsKnown  bool
 	waitingSessions []waitingSession
 	peers           []rosemarylb.RelayPeer
@@ -145,6 +147,7 @@
 		pools:       map[rosemarylb.EndpointID]*endpointPool{},
 		connections: map[rosemarylb.ConnectionID]*connection{},
 		sessions:    map[rosemarylb.SessionID]*session{},
+		revoked:     map[rosemarylb.SessionID]*session{},
 		nextTick:    time.Unix(1, 0),
 		quotas:      newQuotas(),
 		random:      rand.Float64,
