Review: a failover promotes a replica that went on receiving the old primary's log

Cause: the keeper fences no replica during a failover, and promotes one whose log is of an earlier term than the record's. No product code.

--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -5,6 +5,8 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -28,7 +30,12 @@
 	connection        int
 	transaction       int
 	at                time.Time
-	logSize           int
+	log               []*commit
+	values            map[string]string
+	who               string
+	shape             string
+	signature         string
+	rows              []string
 }
 
 // group is a service: a primary and its replicas.
@@ -48,8 +55,12 @@
 	pending      *backend
 	pendingUntil time.Time
 	rec          *record
-	// replicaLog limits what a replica has received beside the lag.
-	changes int
+	// allCommits are the commits of all backends, also those that were rolled back.
+	allCommits []*commit
+	// maxConns is the limit of connections to each backend.
+	maxConns int
+	// silentBefore is the number up to which connections have gone silent.
+	silentBefore int
 }
 
 // backend is one database server of a group.
@@ -69,6 +80,19 @@
 	slots        chan struct{}
 	seq          int
 	left         bool
+	// down is true while a crashed backend doesn't run.
+	down bool
+	// deaf is true while a replica receives nothing, extraLag delays what it receives.
+	deaf     bool
+	extraLag time.Duration
+	// loseAnswers is how many of 1,000 answers are lost after the run.
+	loseAnswers int
+	// cutAnswers is how many of 1,000 answers end before their last message.
+	cutAnswers int
+	// slow multiplies the work of a statement.
+	slow int
+	// waiting is the number of statements that run or wait.
+	waiting int
 }
 
 func newGroup(rec *record, name string) *group {
@@ -79,6 +103,7 @@
 		lag:         20 * time.Millisecond,
 		promoteTime: 600 * time.Millisecond,
 		work:        3 * time.Millisecond,
+		maxConns:    16,
 		rec:         rec,
 	}
 }
@@ -132,15 +157,24 @@
 
 // heartbeat registers the backend every 1.2 s.
 func (b *backend) heartbeat(p *platform) {
+	silent := 0
 	for {
-		b.register(p)
-		time.Sleep(1200 * time.Millisecond)
 		b.group.mu.Lock()
-		left := b.left
+		left, down := b.left, b.down
 		b.group.mu.Unlock()
-		if left {
+		switch {
+		case left:
 			return
+		case down:
+			silent++
+			if silent == 3 {
+				p.remove("servers", b.id)
+			}
+		default:
+			silent = 0
+			b.register(p)
 		}
+		time.Sleep(1200 * time.Millisecond)
 	}
 }
 
@@ -150,7 +184,7 @@
 	defer g.mu.Unlock()
 	g.advance()
 	b, found := g.backends[id]
-	if !found || b.left {
+	if !found || b.left || b.down {
 		return false
 	}
 	if b == g.leader && b.primary {
@@ -170,7 +204,7 @@
 	if g.pending != nil && !now.Before(g.pendingUntil) {
 		b := g.pending
 		g.pending = nil
-		if !b.left && b != g.leader {
+		if !b.left && !b.down && b != g.leader {
 			former := g.leader
 			g.term++
 			g.leader = b
@@ -194,7 +228,7 @@
 // lock.
 func (b *backend) receive(now time.Time) {
 	l := b.group.leader
-	if b == l || b.primary || l == nil || b.left || l.left {
+	if b == l || b.primary || l == nil || b.left || b.down || b.deaf || l.left || l.down {
 		return
 	}
 	common := 0
@@ -203,7 +237,7 @@
 	}
 	b.log = b.log[:common:common]
 	b.term = l.term
-	for common < len(l.log) && now.Sub(l.log[common].at) >= b.group.lag {
+	for common < len(l.log) && now.Sub(l.log[common].at) >= b.group.lag+b.extraLag {
 		b.log = append(b.log, l.log[common])
 		common++
 	}
@@ -236,6 +270,12 @@
 	prepared   map[string][2]string
 	values     map[string]string
 	signatures int
+	// who is the second field of CONNECT.
+	who string
+	// shape is that of the prepared statement that runs.
+	shape string
+	// broken is true once the session has lost an answer.
+	broken bool
 }
 
 func (b *backend) serve(c net.Conn, number int) {
@@ -263,12 +303,15 @@
 				return
 			}
 			b.group.mu.Lock()
-			full := len(b.conns) > 16
+			full := len(b.conns) > b.group.maxConns
 			b.group.mu.Unlock()
 			if full {
 				_, _ = c.Write([]byte("ERROR CONNLIMIT " + b.id + "\r\n"))
 				return
 			}
+			if len(f) > 1 {
+				s.who = f[1]
+			}
 			time.Sleep(12 * time.Millisecond)
 			first = false
 		case !first && verb == "QUERY":
@@ -278,12 +321,22 @@
 			return
 		}
 		b.group.mu.Lock()
-		left := b.left
+		left := b.left || b.down
 		position := fmt.Sprintf("%d.%d", b.term, len(b.log))
 		b.group.mu.Unlock()
-		if left {
+		if left || s.broken {
+			return
+		}
+		b.group.mu.Lock()
+		silent, cut := number <= b.group.silentBefore, b.cutAnswers > 0 && !first && rand.IntN(1000) < b.cutAnswers
+		b.group.mu.Unlock()
+		if cut {
+			_, _ = c.Write([]byte(out))
 			return
 		}
+		if silent {
+			continue
+		}
 		if _, err := c.Write([]byte(out + "READY " + s.state + " " + position + "\r\n")); err != nil {
 			return
 		}
@@ -326,13 +379,30 @@
 	}
 	switch fields[0] {
 	case "READ", "WRITE", "EXECUTE", "COMMIT":
+		g.mu.Lock()
+		full := s.b.waiting >= 18
+		if !full {
+			s.b.waiting++
+		}
+		g.mu.Unlock()
+		if full {
+			return s.fail("BUSY")
+		}
 		s.b.slots <- struct{}{}
-		time.Sleep(g.work)
+		time.Sleep(g.work * time.Duration(max(s.b.slow, 1)))
 		<-s.b.slots
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	switch fields[0] {
+	case "READ", "WRITE", "EXECUTE", "COMMIT":
+		s.b.waiting--
+	}
 	g.advance()
+	if s.b.down {
+		s.broken = true
+		return ""
+	}
 	if len(wait) == 2 {
 		term, _ := strconv.Atoi(wait[0])
 		number, _ := strconv.Atoi(wait[1])
@@ -371,8 +441,12 @@
 	}
 	if id != "-" {
 		g.executions = append(g.executions, execution{
-			id: id, text: text, backend: s.b.id, connection: s.number, transaction: tx, at: time.Now(), logSize: len(s.b.log),
+			id: id, text: text, backend: s.b.id, connection: s.number, transaction: tx, at: time.Now(),
+			log: s.b.log[:len(s.b.log):len(s.b.log)], values: maps.Clone(s.values), shape: s.shape, who: s.who,
 		})
+		if s.b.loseAnswers > 0 && rand.IntN(1000) < s.b.loseAnswers {
+			s.broken = true
+		}
 		g.rec.line("ran: %s %q on %s connection %d transaction %d", id, shorten(text), s.b.id, s.number, tx)
 	}
 }
@@ -455,6 +529,8 @@
 		if !found {
 			return s.fail("NOSTMT")
 		}
+		s.shape = strings.Join(p[:], " ")
+		defer func() { s.shape = "" }()
 		if p[0] == "READ" {
 			return s.read(id, text, fields[2])
 		}
@@ -483,7 +559,12 @@
 	for _, r := range rows {
 		out.WriteString("ROW " + r + "\r\n")
 	}
-	return out.String() + "COMPLETE " + s.signature() + "\r\n"
+	sig := s.signature()
+	if id != "-" {
+		e := &s.b.group.executions[len(s.b.group.executions)-1]
+		e.rows, e.signature = rows, sig
+	}
+	return out.String() + "COMPLETE " + sig + "\r\n"
 }
 
 func (s *dbSession) writeItem(id, text, item, data string) string {
@@ -506,7 +587,8 @@
 func (s *dbSession) commit(writes map[string]string, ids []string) {
 	g := s.b.group
 	c := &commit{term: s.b.term, ids: ids, writes: writes, at: time.Now(), backend: s.b.id, staleTerm: s.b != g.leader}
-	s.b.log = append(s.b.log, c)
+	s.b.log = append(s.b.log[:len(s.b.log):len(s.b.log)], c)
+	g.allCommits = append(g.allCommits, c)
 	g.rec.line("commit: %s %d.%d of %s", s.b.id, s.b.term, len(s.b.log), strings.Join(ids, ","))
 }
 
@@ -523,3 +605,35 @@
 	}
 	p.remove("servers", b.id)
 }
+
+// crash stops the backend. Its log is kept.
+func (b *backend) crash() {
+	b.group.mu.Lock()
+	b.group.advance()
+	b.down = true
+	conns := b.conns
+	b.conns = map[net.Conn]struct{}{}
+	b.group.rec.line("backend: %s crashes with %d commits, primary %v", b.id, len(b.log), b.primary)
+	b.group.mu.Unlock()
+	_ = b.listener.Close()
+	for c := range conns {
+		_ = c.Close()
+	}
+}
+
+// restart starts a crashed backend with its log, as a replica if another one was
+// promoted meanwhile.
+func (b *backend) restart() {
+	l, err := net.Listen("tcp", b.address)
+	fatal(err)
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	b.listener = l
+	b.down = false
+	b.born = time.Now().UnixMilli()
+	b.waiting = 0
+	b.group.advance()
+	b.primary = b.group.leader == b
+	b.group.rec.line("backend: %s restarts, primary %v", b.id, b.primary)
+	go b.accept(l)
+}
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -54,11 +54,18 @@
 // readBuffer is the receive window of clients in bytes, 0 for that of the system.
 var readBuffer int
 
+// clientKey is the second field of CONNECT.
+var clientKey = "u1"
+
 var lastID atomic.Uint64
 
 func newID() string { return fmt.Sprintf("q%06x", lastID.Add(1)) }
 
 func connect(rec *record, name, address, database string) (*client, error) {
+	return connectAs(rec, name, address, database, clientKey)
+}
+
+func connectAs(rec *record, name, address, database, clientKey string) (*client, error) {
 	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return nil, err
@@ -68,7 +75,7 @@
 	}
 	c := &client{conn: conn, r: bufio.NewReaderSize(conn, 1<<16), rec: rec, name: name}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := conn.Write([]byte("CONNECT " + database + " u1\r\n")); err != nil {
+	if _, err := conn.Write([]byte("CONNECT " + database + " " + clientKey + "\r\n")); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -83,6 +84,8 @@
 	done     chan struct{}
 	access   *access
 	rec      *record
+	// restarting is true while a case stops and starts the machine.
+	restarting atomic.Bool
 }
 
 const (
@@ -101,14 +104,15 @@
 	group    *group
 	machines []*machine
 	dir      string
-	logs     string
 	root     string
 	routes   []map[string]any
 	version  int
+	maxConns int
+	tenants  []map[string]any
 }
 
 func newDeployment(rec *record, dir, root string, machines int) *deployment {
-	d := &deployment{rec: rec, dir: dir, root: root, version: 10, logs: os.Getenv("KEEP_LOGS")}
+	d := &deployment{rec: rec, dir: dir, root: root, version: 10, maxConns: 16}
 	d.group = newGroup(rec, "svc7")
 	d.platform = newPlatform(rec, d.group.promote)
 	var seeds []string
@@ -163,10 +167,14 @@
 // configure writes the operator's configuration with the next version.
 func (d *deployment) configure() {
 	d.version += 3
-	d.platform.put("config", "main", map[string]any{
+	c := map[string]any{
 		"version": d.version, "routes": d.routes, "limits": map[string]any{"tx_idle_ms": 3000},
-		"services": []map[string]any{{"name": d.group.name, "max_conns": 16}},
-	})
+		"services": []map[string]any{{"name": d.group.name, "max_conns": d.maxConns, "sync_replicas": 0}},
+	}
+	if d.tenants != nil {
+		c["tenants"] = d.tenants
+	}
+	d.platform.put("config", "main", c)
 }
 
 // startBackends starts three backends, the first of which leads.
@@ -341,3 +349,20 @@
 	"transaction-setup": transactionSetup,
 	"drain-reply":       drainReply,
 }
+
+// twoRegions puts every other machine into a second region.
+func (d *deployment) twoRegions() {
+	for i, m := range d.machines {
+		text, err := os.ReadFile(m.settings)
+		fatal(err)
+		var s map[string]any
+		fatal(json.Unmarshal(text, &s))
+		s["zones"] = map[string]string{"z1": "r1", "z2": "r2"}
+		if i%2 == 1 {
+			s["zone"], s["region"] = "z2", "r2"
+		}
+		text, err = json.Marshal(s)
+		fatal(err)
+		fatal(os.WriteFile(m.settings, text, 0o600))
+	}
+}
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -41,6 +41,8 @@
 	loseWrites bool
 	// delay is added to each answer, promoteDelay to the handling of a promotion.
 	delay, promoteDelay time.Duration
+	// losePromote performs promotions and resets the connection instead of an answer.
+	losePromote bool
 }
 
 func (a *access) set(change func(a *access)) {
@@ -145,6 +147,7 @@
 func (p *platform) serve(w http.ResponseWriter, r *http.Request, a *access, machine string) {
 	a.mu.Lock()
 	silent, status, lose, delay, promoteDelay := a.silent, a.status, a.loseWrites, a.delay, a.promoteDelay
+	losePromote := a.losePromote
 	a.mu.Unlock()
 	if silent {
 		<-r.Context().Done()
@@ -157,7 +160,7 @@
 		return
 	}
 	if r.URL.Path == "/promote" {
-		p.servePromote(w, r, machine, promoteDelay)
+		p.servePromote(w, r, machine, promoteDelay, losePromote)
 		return
 	}
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
@@ -179,7 +182,7 @@
 	}
 }
 
-func (p *platform) servePromote(w http.ResponseWriter, r *http.Request, machine string, delay time.Duration) {
+func (p *platform) servePromote(w http.ResponseWriter, r *http.Request, machine string, delay time.Duration, lose bool) {
 	var body struct {
 		Service string `json:"service"`
 		ID      string `json:"id"`
@@ -195,6 +198,9 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
 	answer(w, http.StatusOK, map[string]any{})
 }
 
