Review: a failover passes over the draining replica that has all acknowledged commits

Cause: the keeper promotes no endpoint that is leaving, and doesn't know of sync_replicas. No product code.

--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -59,6 +59,8 @@
 	allCommits []*commit
 	// maxConns is the limit of connections to each backend.
 	maxConns int
+	// sync is true if a commit is acknowledged once one replica has received it.
+	sync bool
 	// silentBefore is the number up to which connections have gone silent.
 	silentBefore int
 }
@@ -274,6 +276,8 @@
 	who string
 	// shape is that of the prepared statement that runs.
 	shape string
+	// unconfirmed is a commit that no replica may have received yet.
+	unconfirmed *commit
 	// broken is true once the session has lost an answer.
 	broken bool
 }
@@ -317,6 +321,7 @@
 		case !first && verb == "QUERY":
 			id, statement, _ := strings.Cut(rest, " ")
 			out = s.run(id, statement)
+			s.awaitReplica()
 		default:
 			return
 		}
@@ -589,6 +594,9 @@
 	c := &commit{term: s.b.term, ids: ids, writes: writes, at: time.Now(), backend: s.b.id, staleTerm: s.b != g.leader}
 	s.b.log = append(s.b.log[:len(s.b.log):len(s.b.log)], c)
 	g.allCommits = append(g.allCommits, c)
+	if g.sync {
+		s.unconfirmed = c
+	}
 	g.rec.line("commit: %s %d.%d of %s", s.b.id, s.b.term, len(s.b.log), strings.Join(ids, ","))
 }
 
@@ -637,3 +645,45 @@
 	b.group.rec.line("backend: %s restarts, primary %v", b.id, b.primary)
 	go b.accept(l)
 }
+
+// awaitReplica waits until a replica, also one that is draining, has received the last
+// commit of the session.
+func (s *dbSession) awaitReplica() {
+	c := s.unconfirmed
+	s.unconfirmed = nil
+	if c == nil {
+		return
+	}
+	for !s.isReceived(c) && !s.broken {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// isReceived reports whether a replica has received a commit. It marks the session as
+// broken if the backend has crashed or has been replaced.
+func (s *dbSession) isReceived(c *commit) bool {
+	g := s.b.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance()
+	if s.b.down || s.b.left || g.leader != s.b {
+		s.broken = true
+		return false
+	}
+	for _, b := range g.backends {
+		if b != s.b && !b.left && len(b.log) > 0 && b.has(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// has reports whether the log of the backend has a commit. The caller holds the lock.
+func (b *backend) has(c *commit) bool {
+	for i := len(b.log) - 1; i >= 0; i-- {
+		if b.log[i] == c {
+			return true
+		}
+	}
+	return false
+}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -169,7 +169,7 @@
 	d.version += 3
 	c := map[string]any{
 		"version": d.version, "routes": d.routes, "limits": map[string]any{"tx_idle_ms": 3000},
-		"services": []map[string]any{{"name": d.group.name, "max_conns": d.maxConns, "sync_replicas": 0}},
+		"services": []map[string]any{{"name": d.group.name, "max_conns": d.maxConns, "sync_replicas": d.syncReplicas()}},
 	}
 	if d.tenants != nil {
 		c["tenants"] = d.tenants
@@ -348,6 +348,7 @@
 var cases = map[string]func(c *caseRun) (broken bool){
 	"transaction-setup": transactionSetup,
 	"drain-reply":       drainReply,
+	"sync-replica":      syncReplica,
 }
 
 // twoRegions puts every other machine into a second region.
@@ -366,3 +367,11 @@
 		fatal(os.WriteFile(m.settings, text, 0o600))
 	}
 }
+
+// syncReplicas returns the number of replicas that a commit waits for.
+func (d *deployment) syncReplicas() int {
+	if d.group.sync {
+		return 1
+	}
+	return 0
+}
