Review: steadier scripts for the drain case, harness without the exploration

Change: the case stops three machines in turn, and its clients read at the speed of the sheet's link.

--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -5,8 +5,6 @@
 import (
 	"bufio"
 	"fmt"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -30,12 +28,6 @@
 	connection        int
 	transaction       int
 	at                time.Time
-	log               []*commit
-	values            map[string]string
-	who               string
-	shape             string
-	signature         string
-	rows              []string
 }
 
 // group is a service: a primary and its replicas.
@@ -55,14 +47,10 @@
 	pending      *backend
 	pendingUntil time.Time
 	rec          *record
-	// allCommits are the commits of all backends, also those that were rolled back.
-	allCommits []*commit
 	// maxConns is the limit of connections to each backend.
 	maxConns int
 	// sync is true if a commit is acknowledged once one replica has received it.
 	sync bool
-	// silentBefore is the number up to which connections have gone silent.
-	silentBefore int
 }
 
 // backend is one database server of a group.
@@ -82,17 +70,10 @@
 	slots        chan struct{}
 	seq          int
 	left         bool
-	// down is true while a crashed backend doesn't run.
+	// down is true once the backend has crashed.
 	down bool
-	// deaf is true while a replica receives nothing, extraLag delays what it receives.
-	deaf     bool
+	// extraLag delays what a replica receives.
 	extraLag time.Duration
-	// loseAnswers is how many of 1,000 answers are lost after the run.
-	loseAnswers int
-	// cutAnswers is how many of 1,000 answers end before their last message.
-	cutAnswers int
-	// slow multiplies the work of a statement.
-	slow int
 	// waiting is the number of statements that run or wait.
 	waiting int
 }
@@ -230,7 +211,7 @@
 // lock.
 func (b *backend) receive(now time.Time) {
 	l := b.group.leader
-	if b == l || b.primary || l == nil || b.left || b.down || b.deaf || l.left || l.down {
+	if b == l || b.primary || l == nil || b.left || b.down || l.left || l.down {
 		return
 	}
 	common := 0
@@ -272,10 +253,6 @@
 	prepared   map[string][2]string
 	values     map[string]string
 	signatures int
-	// who is the second field of CONNECT.
-	who string
-	// shape is that of the prepared statement that runs.
-	shape string
 	// unconfirmed is a commit that no replica may have received yet.
 	unconfirmed *commit
 	// broken is true once the session has lost an answer.
@@ -313,9 +290,6 @@
 				_, _ = c.Write([]byte("ERROR CONNLIMIT " + b.id + "\r\n"))
 				return
 			}
-			if len(f) > 1 {
-				s.who = f[1]
-			}
 			time.Sleep(12 * time.Millisecond)
 			first = false
 		case !first && verb == "QUERY":
@@ -332,16 +306,6 @@
 		if left || s.broken {
 			return
 		}
-		b.group.mu.Lock()
-		silent, cut := number <= b.group.silentBefore, b.cutAnswers > 0 && !first && rand.IntN(1000) < b.cutAnswers
-		b.group.mu.Unlock()
-		if cut {
-			_, _ = c.Write([]byte(out))
-			return
-		}
-		if silent {
-			continue
-		}
 		if _, err := c.Write([]byte(out + "READY " + s.state + " " + position + "\r\n")); err != nil {
 			return
 		}
@@ -394,7 +358,7 @@
 			return s.fail("BUSY")
 		}
 		s.b.slots <- struct{}{}
-		time.Sleep(g.work * time.Duration(max(s.b.slow, 1)))
+		time.Sleep(g.work)
 		<-s.b.slots
 	}
 	g.mu.Lock()
@@ -447,11 +411,7 @@
 	if id != "-" {
 		g.executions = append(g.executions, execution{
 			id: id, text: text, backend: s.b.id, connection: s.number, transaction: tx, at: time.Now(),
-			log: s.b.log[:len(s.b.log):len(s.b.log)], values: maps.Clone(s.values), shape: s.shape, who: s.who,
 		})
-		if s.b.loseAnswers > 0 && rand.IntN(1000) < s.b.loseAnswers {
-			s.broken = true
-		}
 		g.rec.line("ran: %s %q on %s connection %d transaction %d", id, shorten(text), s.b.id, s.number, tx)
 	}
 }
@@ -463,8 +423,14 @@
 	return text
 }
 
+// argumentWords is the least number of words of a statement.
+var argumentWords = map[string]int{"READ": 2, "WRITE": 2, "EXECUTE": 3, "PREPARE": 4, "DEALLOC": 2, "SET": 2}
+
 func (s *dbSession) dispatch(id, text string, fields []string) string {
 	g := s.b.group
+	if len(fields) < argumentWords[fields[0]] {
+		return s.fail("MALFORMED")
+	}
 	switch fields[0] {
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		if fields[0] == "STEPDOWN" && len(fields) > 1 {
@@ -513,17 +479,12 @@
 		s.end()
 		return "COMPLETE " + s.signature() + "\r\n"
 	case "SET":
-		if len(fields) > 1 {
-			s.values[fields[1]] = strings.Join(fields[2:], " ")
-		}
+		s.values[fields[1]] = strings.Join(fields[2:], " ")
 		return "COMPLETE -\r\n"
 	case "RESET":
 		s.values, s.prepared = map[string]string{}, map[string][2]string{}
 		return "COMPLETE -\r\n"
 	case "PREPARE":
-		if len(fields) < 4 {
-			return s.fail("MALFORMED")
-		}
 		s.prepared[fields[1]] = [2]string{fields[2], fields[3]}
 		return "COMPLETE -\r\n"
 	case "DEALLOC":
@@ -534,8 +495,6 @@
 		if !found {
 			return s.fail("NOSTMT")
 		}
-		s.shape = strings.Join(p[:], " ")
-		defer func() { s.shape = "" }()
 		if p[0] == "READ" {
 			return s.read(id, text, fields[2])
 		}
@@ -564,12 +523,7 @@
 	for _, r := range rows {
 		out.WriteString("ROW " + r + "\r\n")
 	}
-	sig := s.signature()
-	if id != "-" {
-		e := &s.b.group.executions[len(s.b.group.executions)-1]
-		e.rows, e.signature = rows, sig
-	}
-	return out.String() + "COMPLETE " + sig + "\r\n"
+	return out.String() + "COMPLETE " + s.signature() + "\r\n"
 }
 
 func (s *dbSession) writeItem(id, text, item, data string) string {
@@ -593,7 +547,6 @@
 	g := s.b.group
 	c := &commit{term: s.b.term, ids: ids, writes: writes, at: time.Now(), backend: s.b.id, staleTerm: s.b != g.leader}
 	s.b.log = append(s.b.log[:len(s.b.log):len(s.b.log)], c)
-	g.allCommits = append(g.allCommits, c)
 	if g.sync {
 		s.unconfirmed = c
 	}
@@ -629,23 +582,6 @@
 	}
 }
 
-// restart starts a crashed backend with its log, as a replica if another one was
-// promoted meanwhile.
-func (b *backend) restart() {
-	l, err := net.Listen("tcp", b.address)
-	fatal(err)
-	b.group.mu.Lock()
-	defer b.group.mu.Unlock()
-	b.listener = l
-	b.down = false
-	b.born = time.Now().UnixMilli()
-	b.waiting = 0
-	b.group.advance()
-	b.primary = b.group.leader == b
-	b.group.rec.line("backend: %s restarts, primary %v", b.id, b.primary)
-	go b.accept(l)
-}
-
 // awaitReplica waits until a replica, also one that is draining, has received the last
 // commit of the session.
 func (s *dbSession) awaitReplica() {
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -51,31 +51,43 @@
 	return fmt.Sprintf("%d rows COMPLETE %s READY %s", len(r.rows), r.signature, r.state)
 }
 
-// readBuffer is the receive window of clients in bytes, 0 for that of the system.
-var readBuffer int
+// isPaced makes clients read as over a link of 1,000 Mbit/s with a small window.
+var isPaced bool
 
-// clientKey is the second field of CONNECT.
-var clientKey = "u1"
+// pacedBytes is that window, and the size of one read.
+const pacedBytes = 64 << 10
+
+// nanosPerByte is the time of one byte on a link of 1,000 Mbit/s.
+const nanosPerByte = 8
+
+// pacedReader reads from a connection as fast as the link allows.
+type pacedReader struct {
+	conn net.Conn
+}
+
+// Read implements io.Reader.
+func (r pacedReader) Read(data []byte) (int, error) {
+	n, err := r.conn.Read(data)
+	time.Sleep(time.Duration(n) * nanosPerByte)
+	return n, err
+}
 
 var lastID atomic.Uint64
 
 func newID() string { return fmt.Sprintf("q%06x", lastID.Add(1)) }
 
 func connect(rec *record, name, address, database string) (*client, error) {
-	return connectAs(rec, name, address, database, clientKey)
-}
-
-func connectAs(rec *record, name, address, database, clientKey string) (*client, error) {
 	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
-	if readBuffer > 0 {
-		_ = conn.(*net.TCPConn).SetReadBuffer(readBuffer)
-	}
 	c := &client{conn: conn, r: bufio.NewReaderSize(conn, 1<<16), rec: rec, name: name}
+	if isPaced {
+		_ = conn.(*net.TCPConn).SetReadBuffer(pacedBytes)
+		c.r = bufio.NewReaderSize(pacedReader{conn}, pacedBytes)
+	}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := conn.Write([]byte("CONNECT " + database + " " + clientKey + "\r\n")); err != nil {
+	if _, err := conn.Write([]byte("CONNECT " + database + " u1\r\n")); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/review/harness2/drain_reply.go
+++ b/review/harness2/drain_reply.go
@@ -12,12 +12,12 @@
 
 const (
 	// drainRows and drainRowBytes are the answer to a read of the item "history".
-	drainRows     = 24
+	drainRows     = 32
 	drainRowBytes = 256 << 10
 )
 
-// drainReply lets clients read an item with many rows while one machine is stopped as
-// planned.
+// drainReply lets clients read an item with many rows while the machines are stopped and
+// started in turn.
 func drainReply(c *caseRun) (broken bool) {
 	d := newDeployment(c.rec, c.dir, c.root, 3)
 	c.d = d
@@ -40,59 +40,85 @@
 	d.startBackends()
 	d.startMachines()
 	time.Sleep(time.Second)
-	readBuffer = 64 << 10
-	stopped := d.machines[0]
-	end := time.Now().Add(9 * time.Second)
-	var termAt time.Time
-	var mu sync.Mutex
+	isPaced = true
+	run := &drainRun{caseRun: c, termAt: map[*machine]time.Time{}}
+	end := time.Now().Add(17 * time.Second)
 	var clients sync.WaitGroup
-	served := 0
-	for i := range 2 {
-		clients.Add(1)
-		go func() {
-			defer clients.Done()
-			name := fmt.Sprintf("client-%d", i+1)
-			for time.Now().Before(end) {
-				s, err := connect(c.rec, name, stopped.front(), "ledger")
-				if err != nil {
-					time.Sleep(100 * time.Millisecond)
-					continue
-				}
-				for time.Now().Before(end) {
-					sentAt := time.Now()
-					id, r := s.query("READ history")
-					endedAt := time.Now()
-					if !r.lost {
-						mu.Lock()
-						served++
-						mu.Unlock()
-						time.Sleep(time.Millisecond)
-						continue
-					}
-					mu.Lock()
-					if c.cutShort(id, r, sentAt, endedAt, termAt) {
-						broken = true
-					}
-					mu.Unlock()
-					break
-				}
-				s.close()
-			}
-		}()
+	for i, m := range d.machines {
+		for j := range 2 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				run.readUntil(end, fmt.Sprintf("client-%d.%d", i+1, j+1), m)
+			}()
+		}
 	}
 	if c.trouble {
 		time.Sleep(3 * time.Second)
-		mu.Lock()
-		termAt = time.Now()
-		mu.Unlock()
-		stopped.signal(syscall.SIGTERM)
+		run.roll()
 	}
 	clients.Wait()
-	c.rec.line("served: %d answers of %d rows", served, drainRows)
-	if served == 0 {
+	c.rec.line("served: %d answers of %d rows", run.served, drainRows)
+	if run.served == 0 {
 		fatal(fmt.Errorf("no read was served"))
 	}
-	return broken
+	return run.broken
+}
+
+// drainRun is the state of a run of drainReply.
+type drainRun struct {
+	*caseRun
+
+	mu     sync.Mutex
+	termAt map[*machine]time.Time
+	served int
+	broken bool
+}
+
+// roll stops and starts the machines in turn.
+func (r *drainRun) roll() {
+	for _, m := range r.d.machines {
+		r.mu.Lock()
+		r.termAt[m] = time.Now()
+		r.mu.Unlock()
+		m.signal(syscall.SIGTERM)
+		<-m.done
+		m.start()
+		r.d.awaitReady(m)
+	}
+}
+
+// readUntil reads the item again and again, each time after the answer before.
+func (r *drainRun) readUntil(end time.Time, name string, m *machine) {
+	for time.Now().Before(end) {
+		s, err := connect(r.rec, name, m.front(), "ledger")
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		for alive := true; alive && time.Now().Before(end); {
+			sentAt := time.Now()
+			id, answer := s.query("READ history")
+			alive = !answer.lost
+			r.count(m, id, answer, sentAt)
+			time.Sleep(time.Millisecond)
+		}
+		s.close()
+	}
+}
+
+// count counts an answer, or checks one that was lost.
+func (r *drainRun) count(m *machine, id string, answer reply, sentAt time.Time) {
+	endedAt := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !answer.lost {
+		r.served++
+		return
+	}
+	if r.cutShort(id, answer, sentAt, endedAt, r.termAt[m]) {
+		r.broken = true
+	}
 }
 
 // cutShort reports whether an answer was lost against the rule: a backend ran the request,
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -82,10 +81,7 @@
 	logPath  string
 	cmd      *exec.Cmd
 	done     chan struct{}
-	access   *access
 	rec      *record
-	// restarting is true while a case stops and starts the machine.
-	restarting atomic.Bool
 }
 
 const (
@@ -108,7 +104,6 @@
 	routes   []map[string]any
 	version  int
 	maxConns int
-	tenants  []map[string]any
 }
 
 func newDeployment(rec *record, dir, root string, machines int) *deployment {
@@ -128,7 +123,7 @@
 	}
 	for _, m := range d.machines {
 		storeAddress := net.JoinHostPort(newHost(), storePort)
-		m.access = d.platform.listen(storeAddress, m.name)
+		d.platform.listen(storeAddress)
 		settings := map[string]any{
 			"node_name": m.name, "role": "proxy", "machine_class": "front", "serves": []string{"front", "control"},
 			"ip": m.host, "zone": "z1", "region": "r1", "zones": map[string]string{"z1": "r1"},
@@ -171,9 +166,6 @@
 		"version": d.version, "routes": d.routes, "limits": map[string]any{"tx_idle_ms": 3000},
 		"services": []map[string]any{{"name": d.group.name, "max_conns": d.maxConns, "sync_replicas": d.syncReplicas()}},
 	}
-	if d.tenants != nil {
-		c["tenants"] = d.tenants
-	}
 	d.platform.put("config", "main", c)
 }
 
@@ -235,22 +227,6 @@
 	return r.StatusCode == http.StatusOK
 }
 
-// holder returns the machine that holds the lease by the stored record, nil for none.
-func (d *deployment) holder() *machine {
-	var r struct {
-		Holder string `json:"holder"`
-	}
-	if json.Unmarshal(d.platform.get("rosemarylb", "keeper"), &r) != nil {
-		return nil
-	}
-	for _, m := range d.machines {
-		if m.name == r.Holder {
-			return m
-		}
-	}
-	return nil
-}
-
 func (d *deployment) startMachines() {
 	for _, m := range d.machines {
 		m.start()
@@ -351,23 +327,6 @@
 	"sync-replica":      syncReplica,
 }
 
-// twoRegions puts every other machine into a second region.
-func (d *deployment) twoRegions() {
-	for i, m := range d.machines {
-		text, err := os.ReadFile(m.settings)
-		fatal(err)
-		var s map[string]any
-		fatal(json.Unmarshal(text, &s))
-		s["zones"] = map[string]string{"z1": "r1", "z2": "r2"}
-		if i%2 == 1 {
-			s["zone"], s["region"] = "z2", "r2"
-		}
-		text, err = json.Marshal(s)
-		fatal(err)
-		fatal(os.WriteFile(m.settings, text, 0o600))
-	}
-}
-
 // syncReplicas returns the number of replicas that a commit waits for.
 func (d *deployment) syncReplicas() int {
 	if d.group.sync {
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -30,38 +30,16 @@
 	deleted  bool
 }
 
-// access is how the platform treats the calls of one machine.
-type access struct {
-	mu sync.Mutex
-	// silent calls are neither performed nor answered.
-	silent bool
-	// status, if set, answers each call, and nothing is done.
-	status int
-	// loseWrites performs writes and resets the connection instead of an answer.
-	loseWrites bool
-	// delay is added to each answer, promoteDelay to the handling of a promotion.
-	delay, promoteDelay time.Duration
-	// losePromote performs promotions and resets the connection instead of an answer.
-	losePromote bool
-}
-
-func (a *access) set(change func(a *access)) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	change(a)
-}
-
 // platform is a stand-in of the platform: its store and its promotion API.
 type platform struct {
-	mu         sync.Mutex
-	revision   uint64
-	objects    map[string]map[string]storeObject
-	events     []storeEvent
-	compacted  uint64
-	changed    chan struct{}
-	promote    func(service, id string) bool
-	promotions []string
-	rec        *record
+	mu        sync.Mutex
+	revision  uint64
+	objects   map[string]map[string]storeObject
+	events    []storeEvent
+	compacted uint64
+	changed   chan struct{}
+	promote   func(service, id string) bool
+	rec       *record
 }
 
 func newPlatform(rec *record, promote func(service, id string) bool) *platform {
@@ -75,16 +53,14 @@
 }
 
 // listen serves the platform to one machine.
-func (p *platform) listen(address string, machine string) *access {
-	a := &access{}
+func (p *platform) listen(address string) {
 	l, err := net.Listen("tcp", address)
 	fatal(err)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			p.serve(w, r, a, machine)
+			p.serve(w, r)
 		}))
 	}()
-	return a
 }
 
 // put writes an object as the operator or a backend does.
@@ -144,23 +120,11 @@
 	_, _ = w.Write(text)
 }
 
-func (p *platform) serve(w http.ResponseWriter, r *http.Request, a *access, machine string) {
-	a.mu.Lock()
-	silent, status, lose, delay, promoteDelay := a.silent, a.status, a.loseWrites, a.delay, a.promoteDelay
-	losePromote := a.losePromote
-	a.mu.Unlock()
-	if silent {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	time.Sleep(4*time.Millisecond + delay)
+func (p *platform) serve(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(4 * time.Millisecond)
 	w.Header().Set("Store-Era", "1")
-	if status != 0 {
-		w.WriteHeader(status)
-		return
-	}
 	if r.URL.Path == "/promote" {
-		p.servePromote(w, r, machine, promoteDelay, losePromote)
+		p.servePromote(w, r)
 		return
 	}
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
@@ -170,19 +134,19 @@
 	}
 	switch {
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
-		p.serveWrite(w, r, parts, lose)
+		p.serveWrite(w, r, parts)
 	case r.Method != http.MethodGet:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	case len(parts) == 3:
 		p.serveGet(w, parts[1], parts[2])
 	case r.URL.Query().Has("watch"):
-		p.serveWatch(w, r, a, parts[1])
+		p.serveWatch(w, r, parts[1])
 	default:
 		p.serveList(w, parts[1], r.URL.Query().Get("after"))
 	}
 }
 
-func (p *platform) servePromote(w http.ResponseWriter, r *http.Request, machine string, delay time.Duration, lose bool) {
+func (p *platform) servePromote(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Service string `json:"service"`
 		ID      string `json:"id"`
@@ -190,17 +154,10 @@
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	token := r.Header.Get("Fencing-Token")
 	p.rec.line("platform: promotion of %s by %s, token %s", body.ID, r.Header.Get("Duty-Holder"), token)
-	p.mu.Lock()
-	p.promotions = append(p.promotions, token)
-	p.mu.Unlock()
-	time.Sleep(delay)
 	if !p.promote(body.Service, body.ID) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	if lose {
-		panic(http.ErrAbortHandler)
-	}
 	answer(w, http.StatusOK, map[string]any{})
 }
 
@@ -233,18 +190,11 @@
 	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at_rev": revision})
 }
 
-func (p *platform) serveWatch(w http.ResponseWriter, r *http.Request, a *access, kind string) {
+func (p *platform) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		a.mu.Lock()
-		silent := a.silent
-		a.mu.Unlock()
-		if silent {
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
 		p.mu.Lock()
 		if since < p.compacted || since > p.revision {
 			p.mu.Unlock()
@@ -274,7 +224,7 @@
 	}
 }
 
-func (p *platform) serveWrite(w http.ResponseWriter, r *http.Request, parts []string, lose bool) {
+func (p *platform) serveWrite(w http.ResponseWriter, r *http.Request, parts []string) {
 	var o storeObject
 	_ = json.NewDecoder(r.Body).Decode(&o)
 	if len(parts) == 3 {
@@ -295,8 +245,5 @@
 		current = p.write(parts[1], o.Meta.Name, o.Spec)
 	}
 	p.mu.Unlock()
-	if lose {
-		panic(http.ErrAbortHandler)
-	}
 	answer(w, status, current)
 }
