Abort a transaction whose setup step fails

Cause: a setup step (PREPARE, SET, RESET) that fails closes the connection and has the statement queued again, also when the statement's transaction has begun on that connection. From the queue it goes to another connection without a BEGIN.

The new tests failed before for that reason: after a refused PREPARE, SET or RESET, also ahead of a COMMIT, the step was sent again on another connection (4 of 4 cases); the same for a relayed transaction whose owner refuses (2 of 2) and at the owner itself.

Change: retry, through which each repeated attempt goes, completes a statement whose transaction has begun as aborted. It has not run, and its connection is closed, which rolls back, so the promise to the caller holds. Ahead of the BEGIN the whole transaction still moves to another connection. One function, hasBegun, replaces five copies of the condition.

--- a/internal/traffic/proxy/execute.go
+++ b/internal/traffic/proxy/execute.go
@@ -46,7 +46,7 @@
 	pq.sent = false
 	pq.term = 0
 	switch {
-	case pq.inTransaction && !pq.needsBegin:
+	case pq.hasBegun():
 		// A transaction keeps the term that it began in.
 		pq.term = c.term
 	case c.pool.spec.ID == g.permit.Primary && !pq.query.OnReplica:
@@ -58,7 +58,7 @@
 // position that the replica must have applied.
 func (p *Proxy) queryForEndpoint(pq *pendingQuery, c *connection) rosemarylb.Query {
 	g := c.pool.group
-	if c.pool.spec.ID == g.permit.Primary || pq.inTransaction && !pq.needsBegin || pq.isRelayed() {
+	if c.pool.spec.ID == g.permit.Primary || pq.hasBegun() || pq.isRelayed() {
 		return pq.query
 	}
 	required, covered := g.samples.RequiredPosition(pq.asOf, pq.session.state.Floor())
@@ -266,7 +266,7 @@
 	if code == rosemarylb.ReplyDone || pq.attempts >= maxAttempts || !now.Before(pq.deadline) {
 		return false
 	}
-	if pq.inTransaction && !pq.needsBegin || pq.returnsLagging(code) {
+	if pq.hasBegun() || pq.returnsLagging(code) {
 		return false
 	}
 	return code.NotRun() || code == rosemarylb.ReplyAborted
@@ -288,7 +288,8 @@
 )
 
 // retry schedules another attempt of a query that had no effect, or completes
-// it as not run once its attempts or time are used up.
+// it as not run once its attempts or time are used up. A query whose transaction has
+// begun is completed as aborted, since another connection is outside its transaction.
 func (p *Proxy) retry(pq *pendingQuery, ep *endpointPool, code rosemarylb.ReplyCode, now time.Time) {
 	if pq.isAbandoned() {
 		p.inFlight--
@@ -298,6 +299,10 @@
 		p.complete(pq, unauthenticatedReply(), now)
 		return
 	}
+	if pq.hasBegun() {
+		p.failTransaction(pq, "not run: the transaction was rolled back", now)
+		return
+	}
 	if pq.returnsLagging(code) {
 		p.complete(pq, rosemarylb.NewReply(code, "the replica lags"), now)
 		return
--- a/internal/traffic/proxy/outcome.go
+++ b/internal/traffic/proxy/outcome.go
@@ -146,11 +146,9 @@
 		p.inFlight--
 		return
 	}
-	if !pq.sent || pq.isIdempotent() && (!pq.inTransaction || pq.needsBegin) {
-		if !pq.inTransaction || pq.needsBegin {
-			p.retry(pq, c.pool, rosemarylb.ReplyAborted, now)
-			return
-		}
+	if !pq.hasBegun() && (!pq.sent || pq.isIdempotent()) {
+		p.retry(pq, c.pool, rosemarylb.ReplyAborted, now)
+		return
 	}
 	p.completeUnanswered(pq, now)
 }
--- a/internal/traffic/proxy/queue.go
+++ b/internal/traffic/proxy/queue.go
@@ -75,7 +75,7 @@
 // schedule runs a query on the pinned connection of its transaction, or queues
 // it.
 func (p *Proxy) schedule(pq *pendingQuery, now time.Time) {
-	if pq.inTransaction && !pq.needsBegin {
+	if pq.hasBegun() {
 		c := pq.session.pinned
 		if c == nil {
 			p.failTransaction(pq, "the connection of the transaction is gone", now)
--- a/internal/traffic/proxy/quota.go
+++ b/internal/traffic/proxy/quota.go
@@ -93,7 +93,7 @@
 
 // countsAsOperation reports whether a query takes a token of its team's quota here.
 func (pq *pendingQuery) countsAsOperation() bool {
-	return !pq.isRelayed() && pq.team != "" && (!pq.inTransaction || pq.needsBegin)
+	return !pq.isRelayed() && pq.team != "" && !pq.hasBegun()
 }
 
 // refuseOperation answers a query that was not run because of its team's quota.
--- a/internal/traffic/proxy/random_test.go
+++ b/internal/traffic/proxy/random_test.go
@@ -17,9 +17,10 @@
 )
 
 // TestRandomEventsPreserveInvariants applies random events: pipelined queries,
-// arbitrary replies, lost connections, expired permits and failovers. It checks
-// that each query is answered exactly once, that a write which may have run is
-// not sent again, and that no query is left at the end.
+// arbitrary replies, also to setup steps, lost connections, expired permits and
+// failovers. It checks that each query is answered exactly once, that a write which may
+// have run is not sent again, that a statement runs in its transaction, and that no
+// query is left at the end.
 func TestRandomEventsPreserveInvariants(t *testing.T) {
 	for seed := *randomSeed; seed < *randomSeed+uint64(*randomCount); seed++ {
 		r := &randomRun{
@@ -27,7 +28,7 @@
 			rand:        rand.New(rand.NewPCG(seed, 3)),
 			possiblyRun: map[string]bool{},
 			queriesSent: map[rosemarylb.SessionID]int{},
-			lastQueries: map[rosemarylb.ConnectionID]rosemarylb.Query{},
+			sessions:    map[string]rosemarylb.SessionID{},
 			states:      map[rosemarylb.ConnectionID]rosemarylb.TransactionState{},
 		}
 		r.execute()
@@ -46,7 +47,7 @@
 	queryNumber int
 	possiblyRun map[string]bool
 	queriesSent map[rosemarylb.SessionID]int
-	lastQueries map[rosemarylb.ConnectionID]rosemarylb.Query
+	sessions    map[string]rosemarylb.SessionID
 	states      map[rosemarylb.ConnectionID]rosemarylb.TransactionState
 }
 
@@ -119,19 +120,22 @@
 	kinds := []rosemarylb.QueryKind{
 		rosemarylb.QueryRead, rosemarylb.QueryWrite, rosemarylb.QueryBegin, rosemarylb.QueryBeginRead,
 		rosemarylb.QueryCommit, rosemarylb.QueryRollback, rosemarylb.QuerySet, rosemarylb.QueryRead,
+		rosemarylb.QueryPrepare, rosemarylb.QueryExecute, rosemarylb.QueryExecute,
 	}
 	kind := kinds[r.rand.IntN(len(kinds))]
 	r.queryNumber++
 	r.queriesSent[id]++
+	q := rosemarylb.Query{
+		ID:     "q" + strconv.Itoa(r.queryNumber),
+		Kind:   kind,
+		Name:   "n",
+		Value:  strconv.Itoa(r.rand.IntN(3)),
+		Writes: kind == rosemarylb.QueryWrite || kind == rosemarylb.QueryPrepare && r.rand.IntN(2) == 0,
+	}
+	r.sessions[q.ID] = id
 	r.handle(QueryReceived{
 		Session: id,
-		Query: rosemarylb.Query{
-			ID:     "q" + strconv.Itoa(r.queryNumber),
-			Kind:   kind,
-			Name:   "n",
-			Value:  strconv.Itoa(r.rand.IntN(3)),
-			Writes: kind == rosemarylb.QueryWrite,
-		},
+		Query:   q,
 	})
 	r.openConnections()
 }
@@ -141,7 +145,7 @@
 func (r *randomRun) checkNotRepeated(s sent) {
 	id := s.query.ID
 	mayCommit := s.query.Kind == rosemarylb.QueryCommit ||
-		s.query.Kind == rosemarylb.QueryWrite && r.states[s.id] == rosemarylb.TransactionNone
+		s.query.Writes && r.states[s.id] == rosemarylb.TransactionNone
 	if id == "" || !mayCommit {
 		return
 	}
@@ -151,6 +155,22 @@
 	r.possiblyRun[id] = true
 }
 
+// checkTransaction checks that an endpoint runs a statement inside a transaction if its
+// caller sent it inside one, and outside of any otherwise.
+func (r *randomRun) checkTransaction(s sent) {
+	id, known := r.sessions[s.query.ID]
+	if !known {
+		return
+	}
+	state := rosemarylb.TransactionNone
+	if answer, answered := r.last(id); answered {
+		state = answer.State
+	}
+	if got := r.states[s.id]; got != state {
+		r.t.Errorf("%s %s ran on a connection in state %s, want %s", s.query.Kind, s.query.ID, got, state)
+	}
+}
+
 // answerNext answers the oldest sent query with a random code.
 func (r *randomRun) answerNext() {
 	if len(r.sent) == 0 {
@@ -162,13 +182,13 @@
 		return
 	}
 	r.checkNotRepeated(s)
+	r.checkTransaction(s)
 	codes := []rosemarylb.ReplyCode{
 		rosemarylb.ReplyDone, rosemarylb.ReplyDone, rosemarylb.ReplyDone, rosemarylb.ReplyBusy,
 		rosemarylb.ReplyReplicaLagging, rosemarylb.ReplyReadOnly, rosemarylb.ReplyFailed, rosemarylb.ReplyNoStatement,
 	}
 	code := codes[r.rand.IntN(len(codes))]
-	if s.query.Kind == rosemarylb.QueryRollback || s.query.Kind == rosemarylb.QuerySet ||
-		s.query.Kind == rosemarylb.QueryReset {
+	if s.query.Kind == rosemarylb.QueryRollback || isSetup(s.query) && r.rand.IntN(4) != 0 {
 		code = rosemarylb.ReplyDone
 	}
 	if code.NotRun() {
@@ -177,6 +197,11 @@
 	r.respond(s, code)
 }
 
+// isSetup reports whether a query brings a connection to the state that another needs.
+func isSetup(q rosemarylb.Query) bool {
+	return q.Kind == rosemarylb.QuerySet || q.Kind == rosemarylb.QueryReset || q.Kind == rosemarylb.QueryPrepare
+}
+
 // respond answers a query with the resulting transaction state of its
 // connection.
 func (r *randomRun) respond(s sent, code rosemarylb.ReplyCode) {
@@ -199,6 +224,7 @@
 		s := r.nextSent()
 		r.checkNotRepeated(s)
 		if _, open := r.owners[s.id]; open {
+			r.checkTransaction(s)
 			r.respond(s, rosemarylb.ReplyDone)
 		}
 	}
--- a/internal/traffic/proxy/state.go
+++ b/internal/traffic/proxy/state.go
@@ -62,6 +62,12 @@
 	return pq.session.relayEndpoint != ""
 }
 
+// hasBegun reports whether the query belongs to a transaction that has begun on an
+// endpoint. It can run nowhere else.
+func (pq *pendingQuery) hasBegun() bool {
+	return pq.inTransaction && !pq.needsBegin
+}
+
 // isIdempotent reports whether the query can safely run twice.
 func (pq *pendingQuery) isIdempotent() bool {
 	return !pq.query.Writes && pq.query.Kind != rosemarylb.QueryCommit
