Soak: setup steps within transactions that a primary's replacement meets

Callers now execute prepared statements, set values and prepare within transactions, and one pause in five may last up to 1 s. A stand-in that no longer leads refuses all statements of a plain transaction but its end.

--- a/internal/experiment/soak/client.go
+++ b/internal/experiment/soak/client.go
@@ -226,9 +226,36 @@
 	return s.runStatement("READ "+s.randomKey(), "")
 }
 
+// pause is the time between two statements of a transaction. Some are so long that the
+// primary may be replaced meanwhile.
+func (s *session) pause() time.Duration {
+	limit := 12 * time.Millisecond
+	if s.random.IntN(5) == 0 {
+		limit = time.Second
+	}
+	return time.Duration(s.random.Int64N(int64(limit)))
+}
+
+// transactionStatement returns a statement of a transaction and the shape of the
+// prepared statement that it executes, empty for none.
+func (s *session) transactionStatement(readOnly bool) (text, shape string) {
+	if s.random.IntN(2) == 0 {
+		for name, shape := range s.prepared {
+			if !readOnly || shape[0] == 'r' {
+				return s.executeText(name, shape), shape
+			}
+		}
+	}
+	if !readOnly && s.random.IntN(3) == 0 {
+		return "WRITE " + s.randomKey() + " t" + strconv.Itoa(s.number) + "-" + strconv.Itoa(s.sequence), ""
+	}
+	return "READ " + s.randomKey(), ""
+}
+
 // transaction runs a transaction of up to six statements with pauses between
-// them, and reports whether the session can be used further. Some transactions
-// are rolled back and some are abandoned with the connection.
+// them, and reports whether the session can be used further. Some transactions set
+// variables or prepare statements, some are rolled back and some are abandoned with
+// the connection.
 func (s *session) transaction() bool {
 	op := s.newOperation()
 	readOnly := s.random.IntN(3) == 0
@@ -240,18 +267,18 @@
 		return err == nil && s.transactionState == "I"
 	}
 	for range 1 + s.random.IntN(6) {
-		text := "READ " + s.randomKey()
-		if !readOnly && s.random.IntN(3) == 0 {
-			text = "WRITE " + s.randomKey() + " t" + strconv.Itoa(s.number) + "-" + strconv.Itoa(s.sequence)
+		if s.random.IntN(4) == 0 && !s.setOrPrepare(op) {
+			return false
 		}
-		r, err := s.roundTrip(op, text, "", false)
+		text, shape := s.transactionStatement(readOnly)
+		r, err := s.roundTrip(op, text, shape, false)
 		if err != nil {
 			return false
 		}
 		if r.code != "" || s.transactionState != "T" {
 			return s.rollBack(op)
 		}
-		time.Sleep(time.Duration(s.random.IntN(12)) * time.Millisecond)
+		time.Sleep(s.pause())
 		if s.random.IntN(60) == 0 {
 			return false
 		}
@@ -277,10 +304,9 @@
 	return err == nil && r.code == "" && s.transactionState == "I"
 }
 
-// setOrPrepare sets a session variable or prepares a statement. It reports whether
-// the session can be used further.
-func (s *session) setOrPrepare() bool {
-	op := s.newOperation()
+// setOrPrepare sets a session variable or prepares a statement within an operation. It
+// reports whether the session can be used further.
+func (s *session) setOrPrepare(op *operation) bool {
 	name := "s" + strconv.Itoa(s.random.IntN(3))
 	if s.random.IntN(2) == 0 {
 		value := "x" + strconv.Itoa(s.random.IntN(3))
@@ -303,14 +329,19 @@
 	return true
 }
 
+// executeText returns the statement that executes a prepared one.
+func (s *session) executeText(name, shape string) string {
+	text := "EXECUTE " + name + " " + s.randomKey()
+	if shape[0] == 'w' {
+		text += " e" + strconv.Itoa(s.number) + "-" + strconv.Itoa(s.sequence)
+	}
+	return text
+}
+
 // executePrepared executes one of the session's prepared statements, if it has any.
 func (s *session) executePrepared() bool {
 	for name, shape := range s.prepared {
-		text := "EXECUTE " + name + " " + s.randomKey()
-		if shape[0] == 'w' {
-			text += " e" + strconv.Itoa(s.number) + "-" + strconv.Itoa(s.sequence)
-		}
-		_, usable := s.runStatement(text, shape)
+		_, usable := s.runStatement(s.executeText(name, shape), shape)
 		return usable
 	}
 	return true
@@ -322,7 +353,7 @@
 	var usable bool
 	switch s.random.IntN(10) {
 	case 0:
-		usable = s.setOrPrepare()
+		usable = s.setOrPrepare(s.newOperation())
 	case 1, 2:
 		usable = s.executePrepared()
 	case 3, 4:
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -28,6 +28,7 @@
 	{4, "failures of an earlier term, and instances that sent no reports, caused failovers of primaries that answered"},
 	{8, "a primary that had refused one write was not used again in its term"},
 	{21, "rollbacks were forwarded in a form that the other instance refused"},
+	{41008, "a statement left its transaction when its prepare or set was refused"},
 }
 
 // buildProgram compiles the program and returns its path.
--- a/internal/standin/line/session.go
+++ b/internal/standin/line/session.go
@@ -249,6 +249,16 @@
 	"DEALLOC":  1,
 }
 
+// changesSession reports whether a statement changes the state of the session alone.
+func changesSession(verb string) bool {
+	switch verb {
+	case "SET", "RESET", "PREPARE", "DEALLOC":
+		return true
+	default:
+		return false
+	}
+}
+
 // executeControl runs a statement that reads or changes the state of the endpoint
 // or of the session rather than data. It returns false for any other statement.
 func (ss *session) executeControl(fields []string) (response string, handled bool) {
@@ -256,6 +266,9 @@
 	if count, known := argumentCounts[fields[0]]; known && len(fields) != count+1 {
 		return ss.fail("MALFORMED"), true
 	}
+	if changesSession(fields[0]) && ss.inReadWriteTransaction() && !s.isPrimary {
+		return ss.fail("READONLY"), true
+	}
 	switch fields[0] {
 	case "STATUS":
 		return ss.complete(s.formatStatus()), true
@@ -345,13 +358,18 @@
 	}
 }
 
+// inReadWriteTransaction reports whether a plain transaction is open. An endpoint that no
+// longer leads refuses its statements.
+func (ss *session) inReadWriteTransaction() bool {
+	return ss.transactionState == "T" && !ss.readOnly
+}
+
 // readOrWrite runs a READ or a WRITE of an item. Within a transaction, writes take
 // effect at COMMIT.
 func (ss *session) readOrWrite(id, text, shape string, fields []string) string {
 	s := ss.server
-	inReadWriteTransaction := ss.transactionState == "T" && !ss.readOnly
 	switch {
-	case inReadWriteTransaction && !s.isPrimary:
+	case ss.inReadWriteTransaction() && !s.isPrimary:
 		return ss.fail("READONLY")
 	case fields[0] == "READ" && len(fields) == 2:
 		row, written := ss.pendingWrites[fields[1]]
