Promote no endpoint that lacks commits of synchronous replicas

Cause: no decision knew sync_replicas. A failover passed over the draining replica, which had all commits, and did not wait for replicas that had not answered.

Change: the keeper gets the configuration. For groups with synchronous replicas it knows which endpoints may hold acknowledged commits, missing ones included, and promotes a log that has reached a position which covers all of them, that of a leaving endpoint where no other has. It waits otherwise, and logs for whom. The record names these endpoints and the start of the term for the next keeper. A planned replacement starts once a replica receives. Groups without synchronous replicas are decided as before, but no endpoint of any group is promoted before a configuration is known. Tests of the keeper get one for that reason.

--- a/catalog.go
+++ b/catalog.go
@@ -57,6 +57,9 @@
 	// MaxConnections is the maximum number of connections to each endpoint, over
 	// all instances.
 	MaxConnections int
+	// SyncReplicas is the number of replicas that have received a commit before the
+	// primary acknowledges it, 0 for asynchronous replication.
+	SyncReplicas int
 }
 
 // Catalog is the configuration of a fleet whose endpoints register themselves.
--- /dev/null
+++ b/internal/failover/keeper/candidate.go
@@ -0,0 +1,120 @@
+package keeper
+
+import (
+	"time"
+
+	"rosemarylb"
+)
+
+// promotionCandidate returns the endpoint to promote, empty if none is to be promoted yet.
+func (k Keeper) promotionCandidate(name rosemarylb.DatabaseName, now time.Time) (Keeper, rosemarylb.EndpointID) {
+	switch {
+	case k.syncReplicas == nil:
+		return k, ""
+	case k.syncReplicas[name] > 0:
+		return k.synchronousCandidate(name, now)
+	default:
+		return k, k.furthestCandidate(name, now)
+	}
+}
+
+// isCandidate reports whether an endpoint has lately answered and not refused its
+// promotion.
+func (g groupState) isCandidate(id rosemarylb.EndpointID, now time.Time) bool {
+	s := g.states[id]
+	fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
+	refused := id == g.failover.refusedBy && now.Sub(g.failover.refusedAt) < promotionRefusalDelay
+	return fresh && !refused
+}
+
+// furthestCandidate returns the endpoint whose log is the furthest. If the previous
+// primary has reported its own position, it returns none for up to catchUpTimeout until
+// an endpoint has reached that position.
+func (k Keeper) furthestCandidate(name rosemarylb.DatabaseName, now time.Time) rosemarylb.EndpointID {
+	g := k.groups[name]
+	var candidate rosemarylb.EndpointID
+	var furthest rosemarylb.Position
+	for _, e := range k.endpoints[name] {
+		s := g.states[e.ID]
+		if !g.isCandidate(e.ID, now) || e.Leaving {
+			continue
+		}
+		if e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted {
+			continue
+		}
+		if candidate == "" || furthest.Less(s.position) {
+			candidate, furthest = e.ID, s.position
+		}
+	}
+	if g.isBehindPrevious(furthest, now) {
+		return ""
+	}
+	return candidate
+}
+
+// isBehindPrevious reports whether the previous primary has reported a position that a
+// log has not reached, within the time that replicas have to receive the rest.
+func (g groupState) isBehindPrevious(p rosemarylb.Position, now time.Time) bool {
+	previous := g.states[g.failover.previous.Primary]
+	known := previous.probedAt.After(g.failover.startedAt)
+	return known && p.Less(previous.position) && now.Sub(g.failover.recordedAt) < catchUpTimeout
+}
+
+// synchronousCandidate returns an endpoint of a group with synchronous replicas whose log
+// holds every acknowledged commit: the furthest that stays, else a leaving one, else the
+// previous primary once it has stepped down and the others have had the time to receive
+// the rest of its log.
+func (k Keeper) synchronousCandidate(name rosemarylb.DatabaseName, now time.Time) (Keeper, rosemarylb.EndpointID) {
+	g := k.groups[name]
+	required, awaited := k.requiredPosition(name)
+	if awaited != "" {
+		return k.withAwaited(name, awaited, now), ""
+	}
+	var best [3]rosemarylb.EndpointID
+	for _, e := range k.endpoints[name] {
+		s := g.states[e.ID]
+		if !g.isCandidate(e.ID, now) || s.position.Less(required) {
+			continue
+		}
+		class := 0
+		switch {
+		case e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted:
+			if s.isPrimary {
+				continue
+			}
+			class = 2
+		case e.Leaving:
+			class = 1
+		}
+		if best[class] == "" || g.states[best[class]].position.Less(s.position) {
+			best[class] = e.ID
+		}
+	}
+	if g.isBehindPrevious(g.states[best[0]].position, now) {
+		return k, ""
+	}
+	for _, id := range best {
+		if id != "" {
+			return k, id
+		}
+	}
+	return k, ""
+}
+
+// withAwaited logs the endpoint that a promotion waits for, once until it waits for
+// another. All endpoints are silent for a moment after the permits have expired.
+func (k Keeper) withAwaited(name rosemarylb.DatabaseName, id rosemarylb.EndpointID, now time.Time) Keeper {
+	g := k.groups[name]
+	if g.failover.awaited == id || now.Sub(g.failover.recordedAt) < PermitDuration+candidateStatusMaxAge {
+		return k
+	}
+	g.failover.awaited = id
+	return k.withGroup(name, g).withLogEvent(LogEvent{
+		Event:     "promotion waits",
+		Group:     name,
+		Endpoint:  id,
+		Term:      g.failover.previous.Term,
+		Reason:    "silent, may alone hold an acknowledged commit",
+		AgeMillis: now.Sub(g.failover.startedAt).Milliseconds(),
+	})
+}
--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -229,7 +229,9 @@
 	g.failover.reason = reasonInherited
 	g.failover.previous.Primary = highest.Primary
 	g.failover.previous.Term = highest.Term
+	g.failover.previous.Start = 0
 	g.desired.Primary = highest.Primary
 	g.desired.Term = highest.Term
+	g.desired.Start = 0
 	return k.withGroup(name, g)
 }
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -59,6 +59,10 @@
 	promotionPending    bool
 	promotionAcceptedAt time.Time
 	retryAt             time.Time
+	// promotedFrom is the position of the candidate when it was chosen.
+	promotedFrom rosemarylb.Position
+	// awaited is the endpoint that was last logged as not heard.
+	awaited rosemarylb.EndpointID
 }
 
 // promotionsSettled reports whether no promotion of an endpoint other than the
@@ -73,6 +77,7 @@
 // decideGroup decides what is due for one group: the next step of its failover,
 // the start of one, or the next probe of its primary.
 func (k Keeper) decideGroup(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
+	k = k.withDepartures(name, now)
 	g := k.groups[name]
 	l := k.leadership(name)
 	_, listed := k.endpointSpec(name, l.Primary)
@@ -121,6 +126,7 @@
 			g.desired = Leadership{
 				Primary: e.ID,
 				Term:    s.term,
+				Start:   k.termStart(name, e.ID, s.term),
 			}
 			k = k.withLogEvent(LogEvent{
 				Event:    "primary found",
@@ -171,7 +177,7 @@
 // expired.
 func (k Keeper) decideFailover(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
 	g := k.groups[name]
-	for _, e := range k.endpoints[name] {
+	for _, e := range k.probedEndpoints(name) {
 		g, d = g.probe(d, e, fastProbeInterval, now)
 	}
 	k = k.withGroup(name, g)
@@ -238,18 +244,23 @@
 // if there is none or if it need not be the latest one.
 func (k Keeper) latestSuccessor(name rosemarylb.DatabaseName, now time.Time) (rosemarylb.EndpointID, rosemarylb.Term, bool) {
 	id, term, found := k.groups[name].successor()
-	return id, term, found && k.isLatestPrimary(name, id, now)
+	return id, term, found && k.isLatestPrimary(name, id, term, now)
 }
 
 // isLatestPrimary reports whether no other endpoint can lead a later term than a
 // successor of the previous primary. Former keepers may have promoted several endpoints
 // without recording it, the last of which need not answer: all but the previous primary
 // have to, unless this keeper has promoted the successor itself.
-func (k Keeper) isLatestPrimary(name rosemarylb.DatabaseName, id rosemarylb.EndpointID, now time.Time) bool {
+func (k Keeper) isLatestPrimary(
+	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
+) bool {
 	g := k.groups[name]
 	if g.failover.reason != reasonInherited || id == g.failover.promotionTarget {
 		return true
 	}
+	if k.syncReplicas[name] > 0 {
+		return k.hidesNoLaterPrimary(name, id, t)
+	}
 	for _, e := range k.endpoints[name] {
 		s := g.states[e.ID]
 		fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
@@ -291,12 +302,16 @@
 		Reason:    g.failover.reason,
 		AgeMillis: now.Sub(g.failover.startedAt).Milliseconds(),
 	})
-	g.failover = failover{}
-	g.observedSince = now
 	g.desired = Leadership{
 		Primary: id,
 		Term:    t,
+		Start:   k.termStart(name, id, t),
+	}
+	if t != g.failover.previous.Term {
+		g.replication.samples = nil
 	}
+	g.failover = failover{}
+	g.observedSince = now
 	return k.withGroup(name, g)
 }
 
@@ -344,11 +359,12 @@
 		return k, d
 	}
 	if g.failover.candidate == "" {
-		chosen, found := k.promotionCandidate(name, now)
-		if !found {
+		var chosen rosemarylb.EndpointID
+		if k, chosen = k.promotionCandidate(name, now); chosen == "" {
 			return k, d
 		}
 		g.failover.candidate = chosen
+		g.failover.promotedFrom = g.states[chosen].position
 	}
 	if g.failover.candidate == g.failover.refusedBy {
 		// The order may be accepted this time.
@@ -375,33 +391,3 @@
 	})
 	return k.withGroup(name, g), d
 }
-
-// promotionCandidate returns the endpoint whose log is the furthest. If the
-// previous primary has reported its own position, it returns false for up to
-// catchUpTimeout until an endpoint has reached that position.
-func (k Keeper) promotionCandidate(name rosemarylb.DatabaseName, now time.Time) (rosemarylb.EndpointID, bool) {
-	g := k.groups[name]
-	previous := g.states[g.failover.previous.Primary]
-	var candidate rosemarylb.EndpointID
-	var furthest rosemarylb.Position
-	for _, e := range k.endpoints[name] {
-		s := g.states[e.ID]
-		fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
-		refused := e.ID == g.failover.refusedBy && now.Sub(g.failover.refusedAt) < promotionRefusalDelay
-		if !fresh || e.Leaving || refused {
-			continue
-		}
-		if e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted {
-			continue
-		}
-		if candidate == "" || furthest.Less(s.position) {
-			candidate, furthest = e.ID, s.position
-		}
-	}
-	if candidate == "" {
-		return "", false
-	}
-	previousKnown := previous.probedAt.After(g.failover.startedAt)
-	catchingUp := previousKnown && furthest.Less(previous.position) && now.Sub(g.failover.recordedAt) < catchUpTimeout
-	return candidate, !catchingUp
-}
--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -57,6 +57,9 @@
 	// failures and refusals count consecutive failed probes.
 	failures int
 	refusals int
+	// receivedUpTo is the time up to which the endpoint is known to have received the
+	// primary's log, in a group with synchronous replicas.
+	receivedUpTo time.Time
 }
 
 // isPrimaryIn reports whether the endpoint's last status says that it is primary in a
@@ -75,6 +78,9 @@
 	// desired is what the record has to say of the group, zero for no change.
 	desired  Leadership
 	failover failover
+	// replication is what is known of the replication of a group with synchronous
+	// replicas.
+	replication replication
 }
 
 func (g groupState) failingOver() bool {
@@ -160,6 +166,11 @@
 			position:    a.LogPosition,
 			busy:        a.BusySlots,
 			connections: a.Connections,
+
+			receivedUpTo: s.receivedUpTo,
+		}
+		if k.syncReplicas[a.Group] > 0 {
+			g, s = g.withPosition(k.leadership(a.Group), a, s)
 		}
 	}
 	l := k.leadership(a.Group)
@@ -219,7 +230,7 @@
 	switch {
 	case !listed && !g.missingSince.IsZero() && now.Sub(g.missingSince) > missingTimeout:
 		return "gone"
-	case spec.Leaving && k.hasReplacement(name, l):
+	case spec.Leaving && k.hasReplacement(name, l) && k.hasReceivingReplica(name, l, now):
 		return "leaving"
 	case s.probedAt.After(g.observedSince) && !s.isPrimary:
 		return "demoted"
--- a/internal/failover/keeper/health_test.go
+++ b/internal/failover/keeper/health_test.go
@@ -8,8 +8,8 @@
 	"rosemarylb"
 )
 
-// newReportedKeeper returns a keeper that holds the lease and has received the
-// given reports on the group g. The group's primary e1 answered a probe 50 ms before
+// newReportedKeeper returns a keeper that holds the lease, knows a configuration and has
+// received the given reports on the group g. The group's primary e1 answered a probe 50 ms before
 // now.
 func newReportedKeeper(now time.Time, reports []Observation) Keeper {
 	k := NewKeeper("i0", 1, "")
@@ -24,6 +24,8 @@
 			ID:       "e2",
 			Database: "g",
 		},
+	}).WithCatalog(rosemarylb.Catalog{
+		Version: 1,
 	})
 	k = k.withGroup("g", groupState{
 		observedSince: now.Add(-time.Minute),
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -209,8 +209,11 @@
 	// fleet is what the last decision derived from all reports.
 	fleet     fleetSummary
 	endpoints map[rosemarylb.DatabaseName][]rosemarylb.EndpointSpec
-	groups    map[rosemarylb.DatabaseName]groupState
-	logEvents []LogEvent
+	// syncReplicas are the numbers of synchronous replicas of the groups that have any,
+	// nil while the configuration is not known.
+	syncReplicas map[rosemarylb.DatabaseName]int
+	groups       map[rosemarylb.DatabaseName]groupState
+	logEvents    []LogEvent
 }
 
 // NewKeeper returns the keeper of an instance that has not yet read the record.
@@ -235,10 +238,26 @@
 
 // WithEndpoints sets the endpoints of all groups.
 func (k Keeper) WithEndpoints(endpoints []rosemarylb.EndpointSpec) Keeper {
+	before := k.endpoints
 	k.endpoints = map[rosemarylb.DatabaseName][]rosemarylb.EndpointSpec{}
 	for _, e := range endpoints {
 		k.endpoints[e.Database] = append(k.endpoints[e.Database], e)
 	}
+	if k.holdsLease {
+		k = k.withMissing(before)
+	}
+	return k
+}
+
+// WithCatalog sets the configuration. No endpoint is promoted before it is known, as it
+// says which logs hold the acknowledged commits.
+func (k Keeper) WithCatalog(c rosemarylb.Catalog) Keeper {
+	k.syncReplicas = map[rosemarylb.DatabaseName]int{}
+	for name, g := range c.Groups {
+		if g.SyncReplicas > 0 {
+			k.syncReplicas[name] = g.SyncReplicas
+		}
+	}
 	return k
 }
 
@@ -309,6 +328,7 @@
 	if k.mayAct(now) && !k.shuttingDown && k.reclaimSince.IsZero() {
 		for name := range k.endpoints {
 			k, d = k.decideGroup(name, d, now)
+			k = k.withReplicas(name)
 		}
 	}
 	k, d = k.decideRecord(d, now)
--- a/internal/failover/keeper/load.go
+++ b/internal/failover/keeper/load.go
@@ -16,10 +16,10 @@
 )
 
 // probeLoads adds the status queries to the decision that are due for the loads of the
-// endpoints beside the primary.
+// endpoints beside the primary, and for their positions.
 func (k Keeper) probeLoads(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
 	primary := k.leadership(name).Primary
-	for _, e := range k.endpoints[name] {
+	for _, e := range k.probedEndpoints(name) {
 		g := k.groups[name]
 		s := g.states[e.ID]
 		if e.ID == primary || now.Before(s.nextLoadProbeAt) {
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -47,6 +47,13 @@
 	// FailingOver is true during a failover. Another endpoint may be promoted then, so
 	// the record gives no permit to use the primary.
 	FailingOver bool `json:"moving"`
+	// Start is how much of the log of a group with synchronous replicas the primary had
+	// at the start of its term, or some time later. It is 0 if that is not known.
+	Start rosemarylb.LSN `json:"start,omitempty"`
+	// Replicas are the endpoints whose logs may hold commits that the primary of a group
+	// with synchronous replicas has acknowledged, separated by blanks. It is empty for
+	// other groups.
+	Replicas string `json:"replicas,omitempty"`
 }
 
 // ParseRecord decodes a stored record. It returns an error if value is not valid
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -58,14 +58,17 @@
 
 // simulation is the state of one run. The store holds a single record, at revision.
 type simulation struct {
-	random         *rand.Rand
-	now            time.Time
-	instances      []*simulatedInstance
-	endpoints      []*simulatedEndpoint
-	leader         *simulatedEndpoint
-	record         keeper.Record
-	revision       uint64
-	restores       storeRestores
+	random      *rand.Rand
+	now         time.Time
+	instances   []*simulatedInstance
+	endpoints   []*simulatedEndpoint
+	leader      *simulatedEndpoint
+	record      keeper.Record
+	revision    uint64
+	restores    storeRestores
+	replication modelReplication
+	// calm is true once no more faults begin.
+	calm           bool
 	storeDownUntil time.Time
 	scheduled      []scheduledCall
 	acknowledged   map[int]bool
@@ -128,6 +131,7 @@
 		acknowledged:  map[int]bool{},
 		holderByToken: map[uint64]rosemarylb.InstanceID{},
 		restores:      newStoreRestores(seed),
+		replication:   newModelReplication(seed),
 	}
 	for i := range 3 {
 		s.endpoints = append(s.endpoints, &simulatedEndpoint{
@@ -151,9 +155,13 @@
 func (s *simulation) endpointSpecs() []rosemarylb.EndpointSpec {
 	var specs []rosemarylb.EndpointSpec
 	for _, endpoint := range s.endpoints {
+		if s.replication.unlisted[endpoint.id] {
+			continue
+		}
 		specs = append(specs, rosemarylb.EndpointSpec{
 			ID:       endpoint.id,
 			Database: modelGroup,
+			Address:  string(endpoint.id),
 			Leaving:  endpoint.leaving,
 		})
 	}
@@ -164,7 +172,8 @@
 func (s *simulation) startProcess(instance *simulatedInstance) {
 	instance.process = s.random.Uint64()
 	instance.keeper = keeper.NewKeeper(instance.id, instance.process, string(instance.id)).
-		WithEndpoints(s.endpointSpecs())
+		WithEndpoints(s.endpointSpecs()).
+		WithCatalog(s.replication.catalog())
 	instance.witness = &Witness{}
 	instance.permit = rosemarylb.Permit{}
 	instance.notification = keeper.Notification{}
@@ -209,12 +218,19 @@
 	}
 }
 
-func (s *simulation) run() {
-	end := s.now.Add(modelDuration)
+func (s *simulation) run() { s.advance(modelDuration) }
+
+// advance runs the simulation for a time, or until a violation.
+func (s *simulation) advance(duration time.Duration) {
+	end := s.now.Add(duration)
 	for s.now.Before(end) && len(s.violations) == 0 {
 		s.now = s.now.Add(modelStep)
-		s.injectFault()
-		s.injectRestore()
+		if !s.calm {
+			s.injectFault()
+			s.injectRestore()
+			s.injectReplicationFault()
+		}
+		s.updateListing()
 		s.replicate()
 		due := s.scheduled
 		s.scheduled = nil
@@ -378,7 +394,7 @@
 		}
 		endpoint.primary = false
 		endpoint.term = primary.term
-		endpoint.log = slices.Clone(primary.log)
+		endpoint.log = s.replication.received(endpoint, primary)
 	}
 }
 
@@ -584,6 +600,7 @@
 	endpoint.primary = true
 	s.leader = endpoint
 	s.promotions++
+	s.checkPromoted(endpoint)
 	acknowledged := map[int]bool{}
 	for _, c := range endpoint.log {
 		acknowledged[c] = s.acknowledged[c]
@@ -749,27 +766,42 @@
 			commit = s.lastCommit
 			endpoint.log = append(endpoint.log, commit)
 		}
-		s.schedule(200*time.Millisecond, func() {
-			onInstance(func() {
-				if !instance.permit.ValidFor(used.Term, s.now) {
-					return
-				}
-				if isRead {
-					s.checkRead(log, acknowledged)
-					return
-				}
-				if replaced {
-					s.reportViolation("a commit at the replaced primary " + string(endpoint.id) + " is acknowledged")
-				}
-				s.commits++
-				if slices.Contains(s.latestPrimary().log, commit) {
-					s.acknowledged[commit] = true
-				}
+		answer := func() {
+			s.schedule(200*time.Millisecond, func() {
+				onInstance(func() {
+					if !instance.permit.ValidFor(used.Term, s.now) {
+						return
+					}
+					if isRead {
+						s.checkRead(log, acknowledged)
+						return
+					}
+					if replaced {
+						s.reportViolation("a commit at the replaced primary " + string(endpoint.id) + " is acknowledged")
+					}
+					s.acknowledge(commit)
+				})
 			})
-		})
+		}
+		if isRead || !s.replication.enabled {
+			answer()
+			return
+		}
+		s.awaitReplica(endpoint, commit, s.now, answer)
 	})
 }
 
+// acknowledge records that a caller was told of a commit.
+func (s *simulation) acknowledge(commit int) {
+	s.commits++
+	switch {
+	case slices.Contains(s.latestPrimary().log, commit):
+		s.acknowledged[commit] = true
+	case s.replication.enabled:
+		s.reportViolation("commit " + strconv.Itoa(commit) + " is acknowledged after a promotion without it")
+	}
+}
+
 // checkRead checks that a log holds every commit that was acknowledged before the read
 // and has not been rolled back since.
 func (s *simulation) checkRead(log []int, acknowledgedBefore map[int]bool) {
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -191,6 +191,7 @@
 		r.endpoints = newEndpointList(e.Endpoints)
 	case CatalogChanged:
 		r.catalog = e.Catalog
+		r.keeper = r.keeper.WithCatalog(e.Catalog)
 		r.tokens = r.tokens.withCatalog(e.Catalog, now)
 		return
 	case holderAnswered:
