Arbiter: a leaving endpoint votes where the others that answer are no majority

Callers would see a database without a primary: if the primary fails while one of three endpoints is leaving, the arbiter asks only the two others for their votes, one of which is the failed primary, and elects none until that is back.

Cause: whether the staying endpoints are a majority was decided by the configuration, not by which of them answer. No commit is lost: confirmations and elections both need a majority of all endpoints.

Evidence: TestLeavingEndpointVotesWithoutMajorityOfOthers failed before, with no promotion within 4 s in 2 of 2 cases. The simulation's faults now also let an endpoint leave, in a test of its own; that test passed on the former code too, as all endpoints answer at its end.

Change: only staying endpoints that answer count, for the votes and for the replacement of a leaving primary. A leaving primary that fails is replaced like any other.

--- a/internal/failover/arbiter/conditions.go
+++ b/internal/failover/arbiter/conditions.go
@@ -19,8 +19,8 @@
 		return true
 	}
 	m, found := e.member(e.primary.Endpoint)
-	if !found || m.spec.Leaving {
-		return e.stayingCount() >= e.database.Quorum()
+	if !found || m.spec.Leaving && e.stayingCount(now) >= e.database.Quorum() {
+		return true
 	}
 	if m.failedProbes >= failedProbeLimit && now.Sub(m.lastAnswerAt) >= failedProbeRetryInterval {
 		return true
@@ -64,11 +64,11 @@
 	return true
 }
 
-// stayingCount returns the number of endpoints that are not leaving.
-func (e Election) stayingCount() int {
+// stayingCount returns the number of endpoints that answer probes and are not leaving.
+func (e Election) stayingCount(now time.Time) int {
 	count := 0
 	for _, m := range e.members {
-		if !m.spec.Leaving {
+		if !m.spec.Leaving && m.isReachable(now) {
 			count++
 		}
 	}
@@ -76,9 +76,9 @@
 }
 
 // isVoter reports whether an endpoint takes part in elections. A leaving endpoint takes
-// part only where the others are not a majority, as it should not be promoted.
-func (e Election) isVoter(m memberState) bool {
-	return !m.spec.Leaving || e.stayingCount() < e.database.Quorum()
+// part only where the others that answer are not a majority, as it should not be promoted.
+func (e Election) isVoter(m memberState, now time.Time) bool {
+	return !m.spec.Leaving || e.stayingCount(now) < e.database.Quorum()
 }
 
 // grants returns the number of endpoints that have granted the proposed term.
@@ -124,9 +124,13 @@
 func (e Election) reachableCount(now time.Time) int {
 	count := 0
 	for _, m := range e.members {
-		if m.answered && m.failedProbes < failedProbeLimit && now.Sub(m.lastAnswerAt) < silenceTimeout {
+		if m.isReachable(now) {
 			count++
 		}
 	}
 	return count
 }
+
+func (m memberState) isReachable(now time.Time) bool {
+	return m.answered && m.failedProbes < failedProbeLimit && now.Sub(m.lastAnswerAt) < silenceTimeout
+}
--- a/internal/failover/arbiter/election.go
+++ b/internal/failover/arbiter/election.go
@@ -277,7 +277,7 @@
 		if now.Before(m.nextCommandAt) {
 			continue
 		}
-		command := e.commandFor(m)
+		command := e.commandFor(m, now)
 		due = append(due, command)
 		interval := statusInterval
 		if command.Kind != rosemarylb.CommandStatus {
@@ -290,7 +290,7 @@
 
 // commandFor returns the command that the phase requires for an endpoint, a status
 // probe if none.
-func (e Election) commandFor(m memberState) rosemarylb.Command {
+func (e Election) commandFor(m memberState, now time.Time) rosemarylb.Command {
 	command := rosemarylb.Command{
 		Kind:     rosemarylb.CommandStatus,
 		Endpoint: m.spec.ID,
@@ -298,7 +298,7 @@
 		Proposer: e.proposer,
 	}
 	switch {
-	case e.phase == phaseFencing && m.grantedTerm != e.proposedTerm && e.isVoter(m):
+	case e.phase == phaseFencing && m.grantedTerm != e.proposedTerm && e.isVoter(m, now):
 		command.Kind = rosemarylb.CommandFence
 	case e.phase == phasePromoting && m.spec.ID == e.candidate:
 		command.Kind = rosemarylb.CommandPromote
--- a/internal/failover/arbiter/election_test.go
+++ b/internal/failover/arbiter/election_test.go
@@ -111,3 +111,68 @@
 		t.Errorf("got proposer %s for both, want two identities", first[0].Proposer)
 	}
 }
+
+// promotedWhileLeaving returns the endpoint that is promoted after the primary a has failed,
+// empty for none within three seconds. The endpoint c is leaving, and the logs of b and c
+// have the given lengths.
+func promotedWhileLeaving(b, c rosemarylb.LSN) rosemarylb.EndpointID {
+	group := threeEndpointGroup()
+	group.Endpoints[2].Leaving = true
+	states := map[rosemarylb.EndpointID]rosemarylb.EndpointState{}
+	for id, length := range map[rosemarylb.EndpointID]rosemarylb.LSN{"a": 9, "b": b, "c": c} {
+		states[id] = rosemarylb.EndpointState{
+			ID:      id,
+			Primary: id == "a",
+			Term:    3,
+			Log: rosemarylb.Position{
+				Term: 3,
+				LSN:  length,
+			},
+		}
+	}
+	start := time.Unix(1000, 0)
+	arbiter := arbiter.NewElection("i", group, arbiter.WithSeed(1))
+	for after := time.Duration(0); after < 4*time.Second; after += 20 * time.Millisecond {
+		now := start.Add(after)
+		var decision rosemarylb.Decision
+		arbiter, decision = arbiter.Decide(now)
+		for _, command := range decision.Commands {
+			if command.Kind == rosemarylb.CommandPromote {
+				return command.Endpoint
+			}
+			s := states[command.Endpoint]
+			s.ProbedAt = now
+			if command.Kind == rosemarylb.CommandFence {
+				s.Term = command.Term
+			}
+			states[command.Endpoint] = s
+			arbiter = arbiter.WithProbe(rosemarylb.ProbeResult{
+				Endpoint: command.Endpoint,
+				Answered: command.Endpoint != "a" || after < time.Second,
+				Granted:  true,
+				Command:  command,
+				State:    s,
+			}, now)
+		}
+	}
+	return ""
+}
+
+// TestLeavingEndpointVotesWithoutMajorityOfOthers guards against a group without a primary:
+// the primary fails while a replica is leaving, and the endpoints that stay and answer are
+// no majority. A commit that the primary and the leaving one confirmed is kept.
+func TestLeavingEndpointVotesWithoutMajorityOfOthers(t *testing.T) {
+	tests := []struct {
+		name string
+		b, c rosemarylb.LSN
+		want rosemarylb.EndpointID
+	}{
+		{"the leaving endpoint is further", 8, 9, "c"},
+		{"the other is further", 9, 8, "b"},
+	}
+	for _, test := range tests {
+		if got := promotedWhileLeaving(test.b, test.c); got != test.want {
+			t.Errorf("%s: got %q promoted, want %q", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/failover/arbiter/simulation_test.go
+++ b/internal/failover/arbiter/simulation_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,11 +129,14 @@
 	primaryByTerm    map[rosemarylb.Term]rosemarylb.EndpointID
 	reads            int
 	violation        string
+	// maintenance draws which endpoints are leaving, apart from the faults.
+	maintenance *rand.Rand
 }
 
 func newSimulation(seed uint64, endpointCount, instanceCount int) *simulation {
 	s := &simulation{
 		random:        rand.New(rand.NewPCG(seed, 1)),
+		maintenance:   rand.New(rand.NewPCG(seed, 2)),
 		now:           time.Unix(1000, 0),
 		endpoints:     map[rosemarylb.EndpointID]*simulatedEndpoint{},
 		cutLinks:      map[string]bool{},
@@ -579,6 +583,19 @@
 	return string(s.database.Endpoints[n-len(s.instances)].ID)
 }
 
+// replaceEndpoint lets no endpoint leave any more, or another one in place of it.
+func (s *simulation) replaceEndpoint() {
+	leaving := s.maintenance.IntN(2 * len(s.database.Endpoints))
+	endpoints := slices.Clone(s.database.Endpoints)
+	for i := range endpoints {
+		endpoints[i].Leaving = i == leaving
+	}
+	s.database.Endpoints = endpoints
+	for _, instance := range s.instances {
+		instance.arbiter = instance.arbiter.WithDatabase(s.database)
+	}
+}
+
 // heal ends all faults.
 func (s *simulation) heal() {
 	for _, endpoint := range s.endpoints {
@@ -592,8 +609,9 @@
 }
 
 // runSimulation runs a simulation with a number of faults and returns the violation, if
-// any. After the faults have ended, writes have to be acknowledged again.
-func runSimulation(seed uint64, faults int) (s *simulation, violation string) {
+// any. After the faults have ended, writes have to be acknowledged again. With
+// maintenance, one endpoint at a time may be leaving, also at the end.
+func runSimulation(seed uint64, faults int, maintenance bool) (s *simulation, violation string) {
 	endpointCount := 3
 	if seed%4 == 3 {
 		endpointCount = 5
@@ -602,6 +620,9 @@
 	s.run(3 * time.Second)
 	for range faults {
 		s.injectFault()
+		if maintenance && s.maintenance.IntN(3) == 0 {
+			s.replaceEndpoint()
+		}
 		s.run(time.Duration(s.random.IntN(1500)) * time.Millisecond)
 		if s.violation != "" {
 			return s, s.violation
@@ -621,9 +642,20 @@
 // cut links, and lost and late messages. Two primaries in a term, a promotion that
 // loses an acknowledged write, or a confirmed read that misses one fails the test.
 func TestRandomFaultsLoseNothing(t *testing.T) {
+	runSimulations(t, false)
+}
+
+// TestLeavingEndpointsLoseNothing simulates the same while endpoints are replaced as
+// planned.
+func TestLeavingEndpointsLoseNothing(t *testing.T) {
+	runSimulations(t, true)
+}
+
+func runSimulations(t *testing.T, maintenance bool) {
+	t.Helper()
 	writes, reads, promotions := 0, 0, 0
 	for seed := *simulationSeed; seed < *simulationSeed+*simulationCount; seed++ {
-		s, violation := runSimulation(seed, *simulationFaults)
+		s, violation := runSimulation(seed, *simulationFaults, maintenance)
 		if violation != "" {
 			t.Fatalf("seed %d: %s (reproduce with -args -seed %d -count 1 -steps %d)", seed, violation, seed,
 				*simulationFaults)
