Carry the number of synchronous replicas between instances

An instance that got its configuration from another one in place of the store would not have known sync_replicas, and lost commits as before once it became the keeper. The message between instances had no field for it.

--- a/internal/peer/instance/catalog.go
+++ b/internal/peer/instance/catalog.go
@@ -78,6 +78,7 @@
 		m.Groups = append(m.Groups, &link.CatalogGroup{
 			Name:           string(name),
 			MaxConnections: int64(c.Groups[name].MaxConnections),
+			SyncReplicas:   int64(c.Groups[name].SyncReplicas),
 		})
 	}
 	teams := slices.SortedFunc(c.Teams(), func(x, y rosemarylb.Team) int {
@@ -138,6 +139,7 @@
 		c.Groups[name] = rosemarylb.Group{
 			Name:           name,
 			MaxConnections: int(g.GetMaxConnections()),
+			SyncReplicas:   int(g.GetSyncReplicas()),
 		}
 	}
 	if !m.GetAuthenticates() {
--- a/internal/peer/instance/catalog_test.go
+++ b/internal/peer/instance/catalog_test.go
@@ -30,6 +30,7 @@
 			"g": {
 				Name:           "g",
 				MaxConnections: 70,
+				SyncReplicas:   1,
 			},
 		},
 		TransactionIdleMillis: 2000,
