Log also why a promotion waits without a silent endpoint

A group with synchronous replicas can also wait because all logs that answer lack a commit, as when the endpoint that had it has left. Nothing said so, and operators would have seen "move started" alone.

--- a/internal/failover/keeper/candidate.go
+++ b/internal/failover/keeper/candidate.go
@@ -68,7 +68,7 @@
 	g := k.groups[name]
 	required, awaited := k.requiredPosition(name)
 	if awaited != "" {
-		return k.withAwaited(name, awaited, now), ""
+		return k.withWaitLogged(name, awaited, "silent, may alone hold an acknowledged commit", now), ""
 	}
 	var best [3]rosemarylb.EndpointID
 	for _, e := range k.endpoints[name] {
@@ -98,23 +98,26 @@
 			return k, id
 		}
 	}
-	return k, ""
+	return k.withWaitLogged(name, "", "no log that answers holds every acknowledged commit", now), ""
 }
 
-// withAwaited logs the endpoint that a promotion waits for, once until it waits for
-// another. All endpoints are silent for a moment after the permits have expired.
-func (k Keeper) withAwaited(name rosemarylb.DatabaseName, id rosemarylb.EndpointID, now time.Time) Keeper {
+// withWaitLogged logs why a promotion waits, and for which endpoint, once until that
+// changes. All endpoints are silent for a moment after the permits have expired.
+func (k Keeper) withWaitLogged(
+	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, reason string, now time.Time,
+) Keeper {
 	g := k.groups[name]
-	if g.failover.awaited == id || now.Sub(g.failover.recordedAt) < PermitDuration+candidateStatusMaxAge {
+	wait := reason + " " + string(id)
+	if g.failover.loggedWait == wait || now.Sub(g.failover.recordedAt) < PermitDuration+candidateStatusMaxAge {
 		return k
 	}
-	g.failover.awaited = id
+	g.failover.loggedWait = wait
 	return k.withGroup(name, g).withLogEvent(LogEvent{
 		Event:     "promotion waits",
 		Group:     name,
 		Endpoint:  id,
 		Term:      g.failover.previous.Term,
-		Reason:    "silent, may alone hold an acknowledged commit",
+		Reason:    reason,
 		AgeMillis: now.Sub(g.failover.startedAt).Milliseconds(),
 	})
 }
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -61,8 +61,8 @@
 	retryAt             time.Time
 	// promotedFrom is the position of the candidate when it was chosen.
 	promotedFrom rosemarylb.Position
-	// awaited is the endpoint that was last logged as not heard.
-	awaited rosemarylb.EndpointID
+	// loggedWait is why the promotion was last logged to wait, and for which endpoint.
+	loggedWait string
 }
 
 // promotionsSettled reports whether no promotion of an endpoint other than the
