Keeper: only endpoints that still answer show that no later primary is hidden

For groups with synchronous replicas any answer since the start of the failover counted. An endpoint may have been promoted by a delayed order of the former keeper after its answer. It has to be as fresh as for other groups now; both use one function.

--- a/internal/failover/keeper/candidate.go
+++ b/internal/failover/keeper/candidate.go
@@ -18,13 +18,17 @@
 	}
 }
 
-// isCandidate reports whether an endpoint has lately answered and not refused its
+// answers reports whether an endpoint has lately answered since the failover began.
+func (g groupState) answers(id rosemarylb.EndpointID, now time.Time) bool {
+	s := g.states[id]
+	return s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
+}
+
+// isCandidate reports whether an endpoint answers and has not lately refused its
 // promotion.
 func (g groupState) isCandidate(id rosemarylb.EndpointID, now time.Time) bool {
-	s := g.states[id]
-	fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
 	refused := id == g.failover.refusedBy && now.Sub(g.failover.refusedAt) < promotionRefusalDelay
-	return fresh && !refused
+	return g.answers(id, now) && !refused
 }
 
 // furthestCandidate returns the endpoint whose log is the furthest. If the previous
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -259,12 +259,10 @@
 		return true
 	}
 	if k.syncReplicas[name] > 0 {
-		return k.hidesNoLaterPrimary(name, id, t)
+		return k.hidesNoLaterPrimary(name, id, t, now)
 	}
 	for _, e := range k.endpoints[name] {
-		s := g.states[e.ID]
-		fresh := s.probedAt.After(g.failover.startedAt) && now.Sub(s.probedAt) < candidateStatusMaxAge
-		if e.ID != g.failover.previous.Primary && !fresh {
+		if e.ID != g.failover.previous.Primary && !g.answers(e.ID, now) {
 			return false
 		}
 	}
--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -302,16 +302,17 @@
 // hidesNoLaterPrimary reports whether no endpoint of a group with synchronous replicas can
 // have acknowledged a commit in a later term than a primary. It would be silent, as would
 // be all the replicas that received the commit: others show its term.
-func (k Keeper) hidesNoLaterPrimary(name rosemarylb.DatabaseName, primary rosemarylb.EndpointID, t rosemarylb.Term) bool {
+func (k Keeper) hidesNoLaterPrimary(
+	name rosemarylb.DatabaseName, primary rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
+) bool {
 	g := k.groups[name]
 	silent := 0
 	for _, id := range k.logHolders(name) {
-		s := g.states[id]
 		switch {
 		case id == primary:
-		case !s.probedAt.After(g.failover.startedAt):
+		case !g.answers(id, now):
 			silent++
-		case s.term > t:
+		case g.states[id].term > t:
 			return false
 		}
 	}
