Keeper: list the replicas of a group only when they have changed

The keeper decides every 20 ms, and built the list that the record names for each group with synchronous replicas each time. It does so when the list of endpoints or the missing ones have changed.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -209,6 +209,8 @@
 	// fleet is what the last decision derived from all reports.
 	fleet     fleetSummary
 	endpoints map[rosemarylb.DatabaseName][]rosemarylb.EndpointSpec
+	// endpointsRevision is the number of lists of endpoints received, from 1.
+	endpointsRevision uint64
 	// syncReplicas are the numbers of synchronous replicas of the groups that have any,
 	// nil while the configuration is not known.
 	syncReplicas map[rosemarylb.DatabaseName]int
@@ -239,6 +241,7 @@
 // WithEndpoints sets the endpoints of all groups.
 func (k Keeper) WithEndpoints(endpoints []rosemarylb.EndpointSpec) Keeper {
 	before := k.endpoints
+	k.endpointsRevision++
 	k.endpoints = map[rosemarylb.DatabaseName][]rosemarylb.EndpointSpec{}
 	for _, e := range endpoints {
 		k.endpoints[e.Database] = append(k.endpoints[e.Database], e)
--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -22,6 +22,9 @@
 	// departures are the endpoints that are no longer listed, but whose logs may hold
 	// acknowledged commits that no replica has.
 	departures map[rosemarylb.EndpointID]departure
+	// revision is the revision of the list of endpoints that the record's replicas are
+	// from, 0 if the departures have changed since.
+	revision uint64
 }
 
 // positionSample is the position of a primary's log at the time of a probe.
@@ -121,17 +124,18 @@
 	if k.syncReplicas[name] == 0 {
 		return k
 	}
+	g := k.groups[name]
+	l := k.leadership(name)
+	if l == (Leadership{}) || l.Replicas != "" && g.replication.revision == k.endpointsRevision {
+		return k
+	}
 	var ids []string
 	for _, id := range k.logHolders(name) {
 		ids = append(ids, string(id))
 	}
-	g := k.groups[name]
-	l := k.leadership(name)
 	l.Replicas = strings.Join(ids, " ")
-	if k.leadership(name) == (Leadership{}) || k.leadership(name) == l {
-		return k
-	}
 	g.desired = l
+	g.replication.revision = k.endpointsRevision
 	return k.withGroup(name, g)
 }
 
@@ -166,6 +170,7 @@
 		return k
 	}
 	rest := map[rosemarylb.EndpointID]departure{}
+	g.replication.revision = 0
 	for id, d := range g.replication.departures {
 		if d.notedAt.IsZero() {
 			d.notedAt = now
@@ -181,10 +186,10 @@
 // probedEndpoints returns the endpoints of a group to probe: those listed, and those that
 // are missing from the list, as they may still receive commits.
 func (k Keeper) probedEndpoints(name rosemarylb.DatabaseName) []rosemarylb.EndpointSpec {
-	if k.syncReplicas[name] == 0 {
+	departures := k.groups[name].replication.departures
+	if k.syncReplicas[name] == 0 || len(departures) == 0 {
 		return k.endpoints[name]
 	}
-	departures := k.groups[name].replication.departures
 	all := slices.Clone(k.endpoints[name])
 	for _, id := range slices.Sorted(maps.Keys(departures)) {
 		if e := departures[id].spec; e.Address != "" {
