Soak: primaries that crash while a replica drains, with synchronous replicas

The stand-in has groups that acknowledge a commit once a replica has it, and replicas that take longer than others. Plans without the option are as before.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -160,6 +160,7 @@
 	Groups    int    `long:"groups" default:"2" description:"number of replicated databases"`
 	Callers   int    `long:"callers" default:"16" description:"number of callers"`
 	Restores  bool   `long:"restores" description:"restore the store from older copies"`
+	Sync      bool   `long:"sync-replicas" description:"acknowledge commits once a replica has them, and crash primaries while a replica drains"`
 }
 
 // Execute implements flags.Commander.
@@ -182,6 +183,8 @@
 			Groups:    c.Groups,
 			Callers:   c.Callers,
 			Restores:  c.Restores,
+
+			SyncReplicas: c.Sync,
 		})
 		if err != nil {
 			return err
--- a/internal/experiment/soak/audit.go
+++ b/internal/experiment/soak/audit.go
@@ -12,7 +12,9 @@
 
 // groupRecord holds what was executed and committed in one replication group.
 type groupRecord struct {
-	name        string
+	name          string
+	isSynchronous bool
+
 	executions  []line.Execution
 	history     []line.Commit
 	runsByID    map[string][]line.Execution
@@ -38,11 +40,12 @@
 	records := map[string]*groupRecord{}
 	for name, g := range groups {
 		records[name] = &groupRecord{
-			name:        name,
-			executions:  g.Executions(),
-			history:     g.History(),
-			runsByID:    map[string][]line.Execution{},
-			commitsByID: map[string][]line.Commit{},
+			name:          name,
+			isSynchronous: g.IsSynchronous(),
+			executions:    g.Executions(),
+			history:       g.History(),
+			runsByID:      map[string][]line.Execution{},
+			commitsByID:   map[string][]line.Commit{},
 		}
 	}
 	sent := rc.copySent()
@@ -130,6 +133,9 @@
 	if c.Superseded {
 		rc.recordViolationf("ONE: %s was committed at a replaced primary and acknowledged", op.commitID)
 	}
+	if c.RolledBack && g.isSynchronous {
+		rc.recordViolationf("LOST: %s was acknowledged after a replica had it, and is not in the log of the promoted one", op.commitID)
+	}
 	if !c.RolledBack {
 		g.acknowledged = append(g.acknowledged, acknowledgedCommit{
 			commit:         c,
--- a/internal/experiment/soak/harness.go
+++ b/internal/experiment/soak/harness.go
@@ -128,7 +128,7 @@
 	h.network = reserved
 	h.cleanups = append(h.cleanups, release)
 	for g := range o.Groups {
-		if err := h.startGroup("svc" + strconv.Itoa(g)); err != nil {
+		if err := h.startGroup("svc"+strconv.Itoa(g), o.SyncReplicas); err != nil {
 			return err
 		}
 	}
@@ -157,9 +157,15 @@
 	return nil
 }
 
-func (h *Harness) startGroup(name string) error {
-	g := line.NewGroup(name, line.WithLag(30*time.Millisecond), line.WithPromotionDelay(300*time.Millisecond, time.Second),
-		line.WithStatementTime(3*time.Millisecond), line.WithConnectionLimit(connectionLimit), line.WithNumberedSignatures())
+func (h *Harness) startGroup(name string, isSynchronous bool) error {
+	options := []line.GroupOption{
+		line.WithLag(30 * time.Millisecond), line.WithPromotionDelay(300*time.Millisecond, time.Second),
+		line.WithStatementTime(3 * time.Millisecond), line.WithConnectionLimit(connectionLimit), line.WithNumberedSignatures(),
+	}
+	if isSynchronous {
+		options = append(options, line.WithSynchronousReplica())
+	}
+	g := line.NewGroup(name, options...)
 	h.groups[name] = g
 	h.groupNames = append(h.groupNames, name)
 	for i := range groupSize {
@@ -240,7 +246,13 @@
 				"timeout_ms": routeTimeout.Milliseconds(), "max_staleness_ms": k.staleness.Milliseconds(),
 			})
 		}
-		services = append(services, map[string]any{"name": g, "max_conns": connectionLimit})
+		syncReplicas := 0
+		if h.groups[g].IsSynchronous() {
+			syncReplicas = 1
+		}
+		services = append(services, map[string]any{
+			"name": g, "max_conns": connectionLimit, "sync_replicas": syncReplicas,
+		})
 	}
 	for _, v := range []int{h.configVersion, h.configVersion - 3} {
 		routes = append(routes, map[string]any{
--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -89,6 +90,25 @@
 	return steps
 }
 
+// withSteps adds steps of one kind at random times to a plan.
+func withSteps(
+	steps []Step, k stepKind, count int, length, duration time.Duration, random *rand.Rand,
+) []Step {
+	for range count {
+		steps = append(steps, Step{
+			Offset:   2*time.Second + time.Duration(random.Int64N(int64(length-2*time.Second))),
+			Duration: duration,
+			Name:     k.name,
+			kind:     k,
+			seed:     random.Uint64(),
+		})
+	}
+	slices.SortStableFunc(steps, func(x, y Step) int {
+		return int(x.Offset - y.Offset)
+	})
+	return steps
+}
+
 func (h *Harness) randomInstance(random *rand.Rand) *instance {
 	return h.instances[random.IntN(len(h.instances))]
 }
@@ -138,32 +158,6 @@
 	return func() {}
 }
 
-// replaceEndpoint replaces an endpoint: it reports that it is draining, serves
-// until the drain period is over, stops, and starts again.
-func replaceEndpoint(h *Harness, random *rand.Rand, _ time.Duration) func() {
-	e := h.randomEndpoint(random)
-	if !h.reserve(e) {
-		return func() {}
-	}
-	h.mu.Lock()
-	e.draining = true
-	h.writeHeartbeat(e)
-	e.drainingSince = time.Now()
-	h.mu.Unlock()
-	return func() {
-		defer h.release(e)
-		time.Sleep(time.Until(e.drainingSince.Add(drainPeriod + time.Second)))
-		h.mu.Lock()
-		e.down = true
-		e.downSince = time.Now()
-		h.store.Delete("servers", e.server.ID())
-		h.mu.Unlock()
-		e.server.Stop()
-		time.Sleep(restartDelay)
-		h.restartEndpoint(e)
-	}
-}
-
 // reserve claims an endpoint for a step that stops it. It returns false while an
 // endpoint of the same group is claimed.
 func (h *Harness) reserve(e *endpoint) bool {
--- a/internal/experiment/soak/recorder.go
+++ b/internal/experiment/soak/recorder.go
@@ -67,7 +67,8 @@
 //	DRAIN    a draining endpoint gets no new requests
 //	EXIT     an instance exits only when it is told to
 //	LATE     a request gets a reply in time
-//	LOST     a request is not dropped without a reply
+//	LOST     a request is not dropped without a reply, and a commit that a synchronous
+//	         replica has received not by a promotion
 //	MIXED    a reply matches what an endpoint did for the statement
 //	ONE      a group has one primary at a time
 //	PINNED   a transaction stays on one connection, with its session's state
--- a/internal/experiment/soak/restore.go
+++ b/internal/experiment/soak/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"rosemarylb/internal/standin/objects"
@@ -28,19 +27,7 @@
 // their own, so that the other steps of a seed stay the same.
 func withRestores(steps []Step, seed uint64, length time.Duration) []Step {
 	random := rand.New(rand.NewPCG(seed, 3))
-	for range 1 + random.IntN(2) {
-		steps = append(steps, Step{
-			Offset:   2*time.Second + time.Duration(random.Int64N(int64(length-2*time.Second))),
-			Duration: maxCopyAge + maxRestoreOutage + maxOperatorDelay,
-			Name:     restoreKind.name,
-			kind:     restoreKind,
-			seed:     random.Uint64(),
-		})
-	}
-	slices.SortStableFunc(steps, func(x, y Step) int {
-		return int(x.Offset - y.Offset)
-	})
-	return steps
+	return withSteps(steps, restoreKind, 1+random.IntN(2), length, maxCopyAge+maxRestoreOutage+maxOperatorDelay, random)
 }
 
 // restoreStore restores the store from a copy that it makes first. Endpoints write their
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -30,6 +30,9 @@
 	Instances, Groups, Callers int
 	// Restores adds restores of the store from older copies to the plan.
 	Restores bool
+	// SyncReplicas has the groups acknowledge commits once a replica has received them,
+	// and adds to the plan primaries that crash while a replica drains.
+	SyncReplicas bool
 }
 
 // Report is the result of a run.
@@ -91,6 +94,9 @@
 	if o.Restores {
 		steps = withRestores(steps, o.Seed, o.Length)
 	}
+	if o.SyncReplicas {
+		steps = withDrainingReplicas(steps, o.Seed, o.Length)
+	}
 	stopAudits := make(chan struct{})
 	waitAudits := duty.Spawn(func() {
 		h.auditPeriodically(stopAudits)
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -15,6 +15,7 @@
 	firstSeed = flag.Uint64("seed", 0, "first seed of a long run; 0 runs the regression seeds")
 	seedCount = flag.Int("count", 1, "number of seeds of a long run")
 	restores  = flag.Bool("restores", false, "restore the store from older copies in a long run")
+	replicas  = flag.Bool("sync-replicas", false, "have synchronous replicas in a long run")
 )
 
 // regressions are seeds that found a fault, each with the fault that was fixed. The
@@ -57,7 +58,10 @@
 	for seed, cause := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, cause, *restores)
+			runSeed(t, program, seed, cause, Options{
+				Restores:     *restores,
+				SyncReplicas: *replicas,
+			})
 		})
 	}
 }
@@ -65,30 +69,49 @@
 // TestGuaranteesHoldThroughRestoredStore adds restores of the store from older copies to
 // a plan with faults and to one with maintenance only.
 func TestGuaranteesHoldThroughRestoredStore(t *testing.T) {
+	runSeeds(t, []uint64{5, 12}, Options{
+		Restores: true,
+	})
+}
+
+// TestSynchronousReplicasLoseNoCommit guards against LOST with sync_replicas: primaries
+// crash while the replica that has their latest commits is draining.
+func TestSynchronousReplicasLoseNoCommit(t *testing.T) {
+	runSeeds(t, []uint64{42001, 42002}, Options{
+		SyncReplicas: true,
+	})
+}
+
+// runSeeds runs the seeds of a short run with the given options.
+func runSeeds(t *testing.T, seeds []uint64, o Options) {
+	t.Helper()
 	if *firstSeed != 0 {
 		t.Skip("a long run of other seeds")
 	}
 	program := buildProgram(t)
-	for _, seed := range []uint64{5, 12} {
+	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, program, seed, "", true)
+			runSeed(t, program, seed, "", o)
 		})
 	}
 }
 
-func runSeed(t *testing.T, program string, seed uint64, cause string, restores bool) {
+// runSeed runs a seed with the settings of the given options that are not the same for
+// all runs.
+func runSeed(t *testing.T, program string, seed uint64, cause string, o Options) {
 	t.Helper()
 	folder := t.TempDir()
 	r, err := Run(Options{
-		Program:   program,
-		Folder:    folder,
-		Seed:      seed,
-		Length:    15 * time.Second,
-		Instances: 5,
-		Groups:    2,
-		Callers:   16,
-		Restores:  restores,
+		Program:      program,
+		Folder:       folder,
+		Seed:         seed,
+		Length:       15 * time.Second,
+		Instances:    5,
+		Groups:       2,
+		Callers:      16,
+		Restores:     o.Restores,
+		SyncReplicas: o.SyncReplicas,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/line/group.go
+++ b/internal/standin/line/group.go
@@ -41,6 +41,7 @@
 	statementTime         time.Duration
 	connectionLimit       int
 	hasNumberedSignatures bool
+	isSynchronous         bool
 	lastNumber            int
 	executions            []Execution
 	commits               []*Commit
@@ -173,9 +174,9 @@
 	}
 }
 
-// appendCommit adds a commit to the log of an endpoint. Without lag the replicas
-// receive it at once.
-func (g *Group) appendCommit(s *Server, writes map[string]string, ids []string, now time.Time) {
+// appendCommit adds a commit to the log of an endpoint and returns it. Without lag the
+// replicas receive it at once.
+func (g *Group) appendCommit(s *Server, writes map[string]string, ids []string, now time.Time) *Commit {
 	c := &Commit{
 		Number:     len(s.log) + 1,
 		Term:       s.term,
@@ -190,6 +191,7 @@
 	if g.replicationLag == 0 {
 		g.advanceTo(now)
 	}
+	return c
 }
 
 // CommitCount returns the number of commits in the log of the current primary.
--- a/internal/standin/line/server.go
+++ b/internal/standin/line/server.go
@@ -39,6 +39,7 @@
 	primaryUntil  time.Time
 	term          int
 	hiddenCommits int
+	lag           time.Duration
 	log           []*Commit
 	connections   map[net.Conn]struct{}
 	slots         chan struct{}
@@ -170,7 +171,7 @@
 		s.log = slices.Clone(s.log[:common])
 		s.term = s.group.term
 	}
-	for common < len(leader.log) && !leader.log[common].WrittenAt.Add(s.group.replicationLag).After(now) {
+	for common < len(leader.log) && !leader.log[common].WrittenAt.Add(s.group.replicationLag+s.lag).After(now) {
 		s.log = append(s.log, leader.log[common])
 		common++
 	}
--- a/internal/standin/line/session.go
+++ b/internal/standin/line/session.go
@@ -48,6 +48,8 @@
 	values            map[string]string
 	prepared          map[string]string
 	isBroken          bool
+	// unconfirmed is a commit that a replica has to receive before the response.
+	unconfirmed *Commit
 }
 
 func (s *Server) accept(listener net.Listener) {
@@ -98,6 +100,7 @@
 		case "QUERY":
 			id, text, _ := strings.Cut(rest, " ")
 			response = c.execute(id, text)
+			c.awaitReplica()
 		default:
 			return
 		}
@@ -327,7 +330,7 @@
 		return "ERROR READONLY " + s.id + "\r\n"
 	}
 	if len(writes) > 0 {
-		s.group.appendCommit(s, writes, ids, time.Now())
+		ss.unconfirmed = s.group.appendCommit(s, writes, ids, time.Now())
 	}
 	ss.record(id, text, "", nil)
 	return ss.complete()
@@ -392,6 +395,6 @@
 		ss.pendingIDs = append(ss.pendingIDs, id)
 		return ss.complete()
 	}
-	s.group.appendCommit(s, map[string]string{fields[1]: fields[2]}, []string{id}, time.Now())
+	ss.unconfirmed = s.group.appendCommit(s, map[string]string{fields[1]: fields[2]}, []string{id}, time.Now())
 	return ss.complete()
 }
