--- a/internal/failover/keeperduty/model_replication_test.go
+++ b/internal/failover/keeperduty/model_replication_test.go
@@ -33,10 +33,24 @@
 // The simulation has replicas that are behind, are replaced as planned, crash or receive
 // nothing, and a primary that acknowledges a commit once one replica has it.
 func TestNoAcknowledgedCommitIsLost(t *testing.T) {
+	runReplicationModel(t, 1)
+}
+
+// TestMissingPrimaryIsNotOverlooked runs the same with asynchronous replicas, where a
+// promotion may drop commits. It guards against ONE and STALE: a keeper that inherits a
+// failover takes an endpoint for the primary though a former keeper has promoted another
+// since, which is silent and no longer listed.
+func TestMissingPrimaryIsNotOverlooked(t *testing.T) {
+	runReplicationModel(t, 0)
+}
+
+func runReplicationModel(t *testing.T, syncReplicas int) {
+	t.Helper()
 	drains, crashes, promotions, commits := 0, 0, 0, 0
 	for seed := *modelSeed; seed < *modelSeed+uint64(*replicationCount); seed++ {
 		s := newSimulation(seed)
 		s.replication.enabled = true
+		s.replication.syncReplicas = syncReplicas
 		for _, instance := range s.instances {
 			s.startProcess(instance)
 		}
@@ -55,7 +69,7 @@
 		drains, crashes, promotions, commits, *replicationCount)
 	if drains < 2**replicationCount || crashes < 2**replicationCount || promotions < *replicationCount ||
 		commits < 50**replicationCount {
-		t.Errorf("too few to exercise synchronous replicas")
+		t.Errorf("too few to exercise replicas")
 	}
 }
 
@@ -82,11 +96,12 @@
 	}
 }
 
-// modelReplication is the replication of the simulated group with one synchronous replica.
+// modelReplication is the replication of the simulated group.
 type modelReplication struct {
-	random  *rand.Rand
-	enabled bool
-	lag     map[rosemarylb.EndpointID]int
+	random       *rand.Rand
+	enabled      bool
+	syncReplicas int
+	lag          map[rosemarylb.EndpointID]int
 	// downSince is since when an endpoint is down, unlisted whether it is not listed.
 	downSince map[rosemarylb.EndpointID]time.Time
 	unlisted  map[rosemarylb.EndpointID]bool
@@ -107,16 +122,13 @@
 
 // catalog returns the configuration of the simulated group.
 func (r *modelReplication) catalog() rosemarylb.Catalog {
-	group := rosemarylb.Group{
-		Name: modelGroup,
-	}
-	if r.enabled {
-		group.SyncReplicas = 1
-	}
 	return rosemarylb.Catalog{
 		Version: 1,
 		Groups: map[rosemarylb.DatabaseName]rosemarylb.Group{
-			modelGroup: group,
+			modelGroup: {
+				Name:         modelGroup,
+				SyncReplicas: r.syncReplicas,
+			},
 		},
 	}
 }
@@ -252,7 +264,7 @@
 // checkPromoted checks that the log of a promoted endpoint holds every acknowledged
 // commit.
 func (s *simulation) checkPromoted(promoted *simulatedEndpoint) {
-	if !s.replication.enabled {
+	if s.replication.syncReplicas == 0 {
 		return
 	}
 	for commit, acknowledged := range s.acknowledged {
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -783,7 +783,7 @@
 				})
 			})
 		}
-		if isRead || !s.replication.enabled {
+		if isRead || s.replication.syncReplicas == 0 {
 			answer()
 			return
 		}
@@ -797,7 +797,7 @@
 	switch {
 	case slices.Contains(s.latestPrimary().log, commit):
 		s.acknowledged[commit] = true
-	case s.replication.enabled:
+	case s.replication.syncReplicas > 0:
 		s.reportViolation("commit " + strconv.Itoa(commit) + " is acknowledged after a promotion without it")
 	}
 }
