--- a/internal/failover/keeper/candidate.go
+++ b/internal/failover/keeper/candidate.go
@@ -64,37 +64,54 @@
 	return known && p.Less(previous.position) && now.Sub(g.failover.recordedAt) < catchUpTimeout
 }
 
+// candidateClass orders the endpoints whose logs hold every acknowledged commit.
+type candidateClass uint8
+
+const (
+	classStaying candidateClass = iota
+	// classLeaving is an endpoint that is replaced as planned once it leads.
+	classLeaving
+	// classPrevious is the previous primary after it has stepped down.
+	classPrevious
+
+	candidateClassCount = 3
+)
+
+// candidateClass returns the class of an endpoint as a candidate, false if it is none.
+func (g groupState) candidateClass(e rosemarylb.EndpointSpec, now time.Time) (candidateClass, bool) {
+	switch {
+	case !g.isCandidate(e.ID, now):
+		return 0, false
+	case e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted:
+		return classPrevious, !g.states[e.ID].isPrimary
+	case e.Leaving:
+		return classLeaving, true
+	default:
+		return classStaying, true
+	}
+}
+
 // synchronousCandidate returns an endpoint of a group with synchronous replicas whose log
-// holds every acknowledged commit: the furthest that stays, else a leaving one, else the
-// previous primary once it has stepped down and the others have had the time to receive
-// the rest of its log.
+// holds every acknowledged commit: the furthest of the first class that has one. Those that
+// stay have the time to receive the rest of the previous primary's log.
 func (k Keeper) synchronousCandidate(name rosemarylb.DatabaseName, now time.Time) (Keeper, rosemarylb.EndpointID) {
 	g := k.groups[name]
 	required, awaited := k.requiredPosition(name)
 	if awaited != "" {
 		return k.withWaitLogged(name, awaited, "silent, may alone hold an acknowledged commit", now), ""
 	}
-	var best [3]rosemarylb.EndpointID
+	var best [candidateClassCount]rosemarylb.EndpointID
 	for _, e := range k.endpoints[name] {
-		s := g.states[e.ID]
-		if !g.isCandidate(e.ID, now) || s.position.Less(required) {
+		class, eligible := g.candidateClass(e, now)
+		position := g.states[e.ID].position
+		if !eligible || position.Less(required) {
 			continue
 		}
-		class := 0
-		switch {
-		case e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted:
-			if s.isPrimary {
-				continue
-			}
-			class = 2
-		case e.Leaving:
-			class = 1
-		}
-		if best[class] == "" || g.states[best[class]].position.Less(s.position) {
+		if best[class] == "" || g.states[best[class]].position.Less(position) {
 			best[class] = e.ID
 		}
 	}
-	if g.isBehindPrevious(g.states[best[0]].position, now) {
+	if g.isBehindPrevious(g.states[best[classStaying]].position, now) {
 		return k, ""
 	}
 	for _, id := range best {
