--- /dev/null
+++ b/review/harness3/platform_test.go
@@ -0,0 +1,263 @@
+//go:build review
+
+package harness3
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"rosemarylb/internal/standin/line"
+	"rosemarylb/internal/standin/objects"
+)
+
+const (
+	serviceName       = "svc"
+	heartbeatInterval = 1200 * time.Millisecond
+	graceSeconds      = 6
+	readyTimeout      = 20 * time.Second
+)
+
+// zones maps each zone to its region.
+var zones = map[string]string{"a": "north", "b": "north", "c": "south"}
+
+// platform is the users' platform: the store, the promotions, and one database with its
+// servers.
+type platform struct {
+	run     *run
+	store   *objects.Store
+	view    *objects.View
+	address string
+	group   *line.Group
+	servers []*line.Server
+
+	mu       sync.Mutex // guards the fields below
+	sequence int
+	bornAt   int64
+}
+
+// startPlatform starts a store and a database of three servers.
+func startPlatform(r *run, options ...line.GroupOption) (*platform, error) {
+	options = append([]line.GroupOption{
+		line.WithLag(20 * time.Millisecond), line.WithPromotionDelay(600*time.Millisecond, time.Second),
+		line.WithStatementTime(3 * time.Millisecond), line.WithConnectionLimit(16),
+	}, options...)
+	p := &platform{
+		run:    r,
+		group:  line.NewGroup(serviceName, options...),
+		bornAt: time.Now().UnixMilli(),
+	}
+	p.store = objects.NewStore(func(group, id string) bool {
+		return group == serviceName && p.group.Promote(id)
+	})
+	p.view = p.store.View(func(_ string, spec json.RawMessage) json.RawMessage { return spec })
+	address, err := serve(r, p.view)
+	if err != nil {
+		return nil, err
+	}
+	p.address = address
+	for i := range 3 {
+		s, err := line.StartServer(p.group, "e"+strconv.Itoa(i))
+		if err != nil {
+			return nil, err
+		}
+		r.onCleanUp(s.Stop)
+		p.servers = append(p.servers, s)
+	}
+	p.heartbeat()
+	stop := make(chan struct{})
+	r.onCleanUp(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(heartbeatInterval):
+				p.heartbeat()
+			}
+		}
+	}()
+	return p, nil
+}
+
+// serve serves HTTP on a free loopback address.
+func serve(r *run, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Second,
+	}
+	go func() { _ = server.Serve(l) }()
+	r.onCleanUp(func() { _ = server.Close() })
+	return l.Addr().String(), nil
+}
+
+// heartbeat writes the entries of all servers.
+func (p *platform) heartbeat() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	for i, s := range p.servers {
+		role := "replica"
+		if s.IsPrimary() {
+			role = "primary"
+		}
+		p.store.Put("servers", s.ID(), map[string]any{
+			"service": serviceName, "address": s.Address(), "zone": string(rune('a' + i)), "version": "v1", "slots": 2,
+			"state": "ready", "cold_left_ms": 0, "db_role": role, "seq_no": p.sequence, "born": p.bornAt,
+		})
+	}
+}
+
+// routeTypes are the kinds of routes; each has a database of its name.
+var routeTypes = []string{"primary", "bounded_staleness", "read_your_writes"}
+
+// putConfig writes the configuration.
+func (p *platform) putConfig(version int, timeout time.Duration) {
+	var routes []map[string]any
+	for i, kind := range routeTypes {
+		routes = append(routes, map[string]any{
+			"name": "r-" + kind, "database": kind, "path_prefix": "/", "route_type": kind, "service": serviceName,
+			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 800, "priority": i, "attempts": 2,
+			"max_staleness_ms": 1500,
+		})
+	}
+	p.store.Put("config", "main", map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{
+			"name": serviceName, "health_path": "/health", "max_conns": 16, "protocol": "h1", "tls": false, "sync_replicas": 0,
+		}},
+		"limits": map[string]any{"tx_idle_ms": 3000},
+	})
+}
+
+// instance is a process of the program.
+type instance struct {
+	run     *run
+	name    string
+	ip      string
+	front   string
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// host returns the loopback address of a machine, which belongs to this process.
+func host(machine int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 130+pid>>16&31, pid>>8&255, (pid&31)*8+machine+1&255)
+}
+
+// startInstances starts instances and waits until all are ready.
+func (p *platform) startInstances(count int) ([]*instance, error) {
+	var all []*instance
+	for i := range count {
+		started, err := p.startInstance(i)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, started)
+	}
+	deadline := time.Now().Add(readyTimeout)
+	for _, i := range all {
+		for !i.isReady() {
+			if time.Now().After(deadline) {
+				return nil, fmt.Errorf("%s is not ready", i.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return all, nil
+}
+
+func (p *platform) startInstance(number int) (*instance, error) {
+	ip := host(number)
+	zone := string(rune('a' + number%len(zones)))
+	i := &instance{
+		run:   p.run,
+		name:  "front-" + zone + "-" + strconv.Itoa(number),
+		ip:    ip,
+		front: ip + ":8784",
+		ended: make(chan struct{}),
+	}
+	var seeds []string
+	for s := range 3 {
+		seeds = append(seeds, host(s)+":8782")
+	}
+	settings, err := json.Marshal(map[string]any{
+		"node_name": i.name, "role": "proxy", "machine_class": "front", "serves": []string{"front", "control"}, "ip": ip,
+		"zone": zone, "region": zones[zone], "zones": zones,
+		"listen_addrs": map[string]string{"front": i.front, "ready": ip + ":8785", "control": ip + ":8782"},
+		"port_range":   []int{7440, 7455}, "seeds": seeds, "bootstrap": true,
+		"limits": map[string]any{
+			"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0,
+		},
+		"heartbeat_ms": heartbeatInterval.Milliseconds(),
+		"bounds": map[string]any{
+			"stable_window_ms": 5000, "drain_ms": 7000, "grace_s": graceSeconds, "loss_slack_ms": 200, "config_apply_ms": 4000,
+		},
+		"platform":  map[string]any{"address": p.address, "form": "objects"},
+		"cloud_api": map[string]any{"address": p.address, "duties": []string{"failover"}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(p.run.folder, i.name+".json")
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
+		return nil, err
+	}
+	output, err := os.Create(filepath.Join(p.run.folder, i.name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	i.command = exec.Command(p.run.program, "host")
+	i.command.Env = []string{"ROSEMARYLB_BOOT=" + path, "PATH=" + os.Getenv("PATH")}
+	i.command.Stdout = output
+	i.command.Stderr = output
+	if err := i.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = i.command.Wait()
+		_ = output.Close()
+		close(i.ended)
+	}()
+	p.run.onCleanUp(func() {
+		i.signal(syscall.SIGCONT)
+		i.signal(syscall.SIGKILL)
+		<-i.ended
+	})
+	return i, nil
+}
+
+// signal sends a signal to the process, if it has not ended.
+func (i *instance) signal(s syscall.Signal) {
+	select {
+	case <-i.ended:
+	default:
+		_ = i.command.Process.Signal(s)
+	}
+}
+
+// isReady reports whether the platform would send callers to the instance.
+func (i *instance) isReady() bool {
+	client := http.Client{
+		Timeout: time.Second,
+	}
+	response, err := client.Get("http://" + i.ip + ":8785/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
