--- a/review/harness3/stop_test.go
+++ b/review/harness3/stop_test.go
@@ -12,7 +12,7 @@
 )
 
 func init() {
-	cases["11"] = playLargeAnswerAtStop
+	cases["12"] = playLargeAnswerAtStop
 }
 
 const (
