Review case 11: a deposed holder of the lease acts beside its successor

Cause: the question of an instance to a seed counts as the report of a witness, also if that instance has promised to ignore the seed as the holder.

--- a/review/harness3/main_test.go
+++ b/review/harness3/main_test.go
@@ -130,6 +130,13 @@
 	fmt.Println(line)
 }
 
+// detail writes a line to the record alone.
+func (r *run) detail(at time.Time, format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.record, "%8.3f  %s\n", at.Sub(r.startedAt).Seconds(), fmt.Sprintf(format, args...))
+}
+
 // violation records that the rule was broken.
 func (r *run) violation(format string, args ...any) {
 	r.note("BROKEN: "+format, args...)
--- a/review/harness3/platform_test.go
+++ b/review/harness3/platform_test.go
@@ -3,10 +3,14 @@
 package harness3
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -32,12 +36,16 @@
 // platform is the users' platform: the store, the promotions, and one database with its
 // servers.
 type platform struct {
-	run     *run
-	store   *objects.Store
-	view    *objects.View
-	address string
+	run   *run
+	store *objects.Store
+	// promoteAddress is where promotions are asked for.
+	promoteAddress string
+	// views are the stores as the machines see them, by the number of the machine.
+	views   map[int]*storeView
 	group   *line.Group
 	servers []*line.Server
+	// gates are what stands between the machines and each server.
+	gates []*gate
 
 	mu       sync.Mutex // guards the fields below
 	sequence int
@@ -54,16 +62,16 @@
 		run:    r,
 		group:  line.NewGroup(serviceName, options...),
 		bornAt: time.Now().UnixMilli(),
+		views:  map[int]*storeView{},
 	}
 	p.store = objects.NewStore(func(group, id string) bool {
 		return group == serviceName && p.group.Promote(id)
 	})
-	p.view = p.store.View(func(_ string, spec json.RawMessage) json.RawMessage { return spec })
-	address, err := serve(r, p.view)
+	address, err := serve(r, p.newView())
 	if err != nil {
 		return nil, err
 	}
-	p.address = address
+	p.promoteAddress = address
 	for i := range 3 {
 		s, err := line.StartServer(p.group, "e"+strconv.Itoa(i))
 		if err != nil {
@@ -71,6 +79,11 @@
 		}
 		r.onCleanUp(s.Stop)
 		p.servers = append(p.servers, s)
+		g, err := startGate(r, s.Address())
+		if err != nil {
+			return nil, err
+		}
+		p.gates = append(p.gates, g)
 	}
 	p.heartbeat()
 	stop := make(chan struct{})
@@ -88,6 +101,73 @@
 	return p, nil
 }
 
+// storeView is the store as one machine sees it.
+type storeView struct {
+	view *objects.View
+
+	mu       sync.Mutex // guards the fields below
+	rejected bool
+	// calls ends when the store turns the machine away.
+	calls context.Context
+	end   context.CancelFunc
+}
+
+func (p *platform) newView() *storeView {
+	v := &storeView{
+		view: p.store.View(func(_ string, spec json.RawMessage) json.RawMessage { return spec }),
+	}
+	v.calls, v.end = context.WithCancel(context.Background())
+	return v
+}
+
+// ServeHTTP implements http.Handler. A machine that is turned away gets 503, and its
+// watches that wait are cut off.
+func (v *storeView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v.mu.Lock()
+	rejected, calls := v.rejected, v.calls
+	v.mu.Unlock()
+	if rejected {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(calls, cancel)()
+	v.view.ServeHTTP(w, r.WithContext(ctx))
+	if calls.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (v *storeView) reject(rejected bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rejected = rejected
+	v.end()
+	v.calls, v.end = context.WithCancel(context.Background())
+}
+
+// rejectMachines makes the store answer 503 to machines, or serve them again.
+func (p *platform) rejectMachines(rejected bool, machines ...int) {
+	for _, m := range machines {
+		p.views[m].reject(rejected)
+	}
+}
+
+// holder returns the name of the instance that holds the lease, by the store.
+func (p *platform) holder() (name string, token uint64) {
+	recorder := httptest.NewRecorder()
+	p.store.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/objects/rosemarylb/keeper", nil))
+	var o struct {
+		Spec struct {
+			Holder string `json:"holder"`
+			Token  uint64 `json:"token"`
+		} `json:"spec"`
+	}
+	_ = json.Unmarshal(recorder.Body.Bytes(), &o)
+	return o.Spec.Holder, o.Spec.Token
+}
+
 // serve serves HTTP on a free loopback address.
 func serve(r *run, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -97,6 +177,7 @@
 	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: time.Second,
+		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	go func() { _ = server.Serve(l) }()
 	r.onCleanUp(func() { _ = server.Close() })
@@ -114,7 +195,7 @@
 			role = "primary"
 		}
 		p.store.Put("servers", s.ID(), map[string]any{
-			"service": serviceName, "address": s.Address(), "zone": string(rune('a' + i)), "version": "v1", "slots": 2,
+			"service": serviceName, "address": p.gates[i].address(), "zone": string(rune('a' + i)), "version": "v1", "slots": 2,
 			"state": "ready", "cold_left_ms": 0, "db_role": role, "seq_no": p.sequence, "born": p.bornAt,
 		})
 	}
@@ -155,9 +236,12 @@
 // host returns the loopback address of a machine, which belongs to this process.
 func host(machine int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 130+pid>>16&31, pid>>8&255, (pid&31)*8+machine+1&255)
+	return fmt.Sprintf("127.%d.%d.%d", 130+pid>>16&31, pid>>4&255, pid&15*16+machine+1)
 }
 
+// startDelay is how much earlier the first machine starts than the others.
+const startDelay = 300 * time.Millisecond
+
 // startInstances starts instances and waits until all are ready.
 func (p *platform) startInstances(count int) ([]*instance, error) {
 	var all []*instance
@@ -167,6 +251,9 @@
 			return nil, err
 		}
 		all = append(all, started)
+		if i == 0 {
+			time.Sleep(startDelay)
+		}
 	}
 	deadline := time.Now().Add(readyTimeout)
 	for _, i := range all {
@@ -182,6 +269,11 @@
 
 func (p *platform) startInstance(number int) (*instance, error) {
 	ip := host(number)
+	p.views[number] = p.newView()
+	storeAddress, err := serve(p.run, p.views[number])
+	if err != nil {
+		return nil, err
+	}
 	zone := string(rune('a' + number%len(zones)))
 	i := &instance{
 		run:   p.run,
@@ -206,8 +298,8 @@
 		"bounds": map[string]any{
 			"stable_window_ms": 5000, "drain_ms": 7000, "grace_s": graceSeconds, "loss_slack_ms": 200, "config_apply_ms": 4000,
 		},
-		"platform":  map[string]any{"address": p.address, "form": "objects"},
-		"cloud_api": map[string]any{"address": p.address, "duties": []string{"failover"}},
+		"platform":  map[string]any{"address": storeAddress, "form": "objects"},
+		"cloud_api": map[string]any{"address": p.promoteAddress, "duties": []string{"failover"}},
 	})
 	if err != nil {
 		return nil, err
--- a/review/harness3/stop_test.go
+++ b/review/harness3/stop_test.go
@@ -12,7 +12,7 @@
 )
 
 func init() {
-	cases["12"] = playLargeAnswerAtStop
+	cases["13"] = playLargeAnswerAtStop
 }
 
 const (
