--- a/review/harness3/platform_test.go
+++ b/review/harness3/platform_test.go
@@ -28,6 +28,10 @@
 	heartbeatInterval = 1200 * time.Millisecond
 	graceSeconds      = 6
 	readyTimeout      = 20 * time.Second
+	// The figures of a database are those of the sheet of kmlf-pool-grown.
+	replicaLag     = 150 * time.Millisecond
+	promotionDelay = time.Second
+	maxConnections = 46
 )
 
 // zones maps each zone to its region.
@@ -55,8 +59,8 @@
 // startPlatform starts a store and a database of three servers.
 func startPlatform(r *run, options ...line.GroupOption) (*platform, error) {
 	options = append([]line.GroupOption{
-		line.WithLag(20 * time.Millisecond), line.WithPromotionDelay(600*time.Millisecond, time.Second),
-		line.WithStatementTime(3 * time.Millisecond), line.WithConnectionLimit(16),
+		line.WithLag(replicaLag), line.WithPromotionDelay(promotionDelay, time.Second),
+		line.WithStatementTime(3 * time.Millisecond), line.WithConnectionLimit(maxConnections),
 	}, options...)
 	p := &platform{
 		run:    r,
@@ -217,7 +221,7 @@
 	p.store.Put("config", "main", map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{{
-			"name": serviceName, "health_path": "/health", "max_conns": 16, "protocol": "h1", "tls": false, "sync_replicas": 0,
+			"name": serviceName, "health_path": "/health", "max_conns": maxConnections, "protocol": "h1", "tls": false, "sync_replicas": 0,
 		}},
 		"limits": map[string]any{"tx_idle_ms": 3000},
 	})
@@ -293,11 +297,11 @@
 		"listen_addrs": map[string]string{"front": i.front, "ready": ip + ":8785", "control": ip + ":8782"},
 		"port_range":   []int{7440, 7455}, "seeds": seeds, "bootstrap": true,
 		"limits": map[string]any{
-			"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0,
+			"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4400, "link_mbps": 200.0, "disk_mb": 0,
 		},
 		"heartbeat_ms": heartbeatInterval.Milliseconds(),
 		"bounds": map[string]any{
-			"stable_window_ms": 5000, "drain_ms": 7000, "grace_s": graceSeconds, "loss_slack_ms": 200, "config_apply_ms": 4000,
+			"stable_window_ms": 6000, "drain_ms": 10000, "grace_s": graceSeconds, "loss_slack_ms": 200, "config_apply_ms": 6000,
 		},
 		"platform":  map[string]any{"address": storeAddress, "form": "objects"},
 		"cloud_api": map[string]any{"address": p.promoteAddress, "duties": []string{"failover"}},
--- a/review/harness3/promotion_test.go
+++ b/review/harness3/promotion_test.go
@@ -19,13 +19,12 @@
 
 const (
 	promotionMachines = 4
-	promotionDelay    = 600 * time.Millisecond
 	// crashTime is how long the first primary is down, and how long the third is dark.
 	crashTime = 7 * time.Second
 	// pathLoss is how long the second primary has no path to the holder's machine.
 	pathLoss = 5 * time.Second
 	// darkAfter is when the third primary goes dark, after its promotion was ordered.
-	darkAfter = 500 * time.Millisecond
+	darkAfter = 900 * time.Millisecond
 	// demotionDelay is how long the second primary goes on after the promotion of the third
 	// has taken effect: until a second after it can reach it.
 	demotionDelay = darkAfter - promotionDelay + crashTime + time.Second
--- a/review/harness3/restart_test.go
+++ b/review/harness3/restart_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"syscall"
 	"time"
-
-	"rosemarylb/internal/standin/line"
 )
 
 func init() {
@@ -15,8 +13,6 @@
 }
 
 const (
-	// grownPromotionDelay is the time of a promotion on the sheets of the grown sites.
-	grownPromotionDelay = time.Second
 	// killAfter is when the holder is killed, after it has ordered a promotion, and
 	// restartAfter when its process is started again.
 	killAfter    = 30 * time.Millisecond
@@ -27,7 +23,7 @@
 // lease's holder until another endpoint is ordered to lead. The holder is killed then, and
 // started again.
 func playRestartedHolder(r *run) error {
-	p, err := startPlatform(r, line.WithPromotionDelay(grownPromotionDelay, time.Second))
+	p, err := startPlatform(r)
 	if err != nil {
 		return err
 	}
