--- a/review/harness3/holder_test.go
+++ b/review/harness3/holder_test.go
@@ -18,15 +18,19 @@
 }
 
 const (
-	holderMachines = 8
+	holderMachines = 9
 	// settleTime is how long the machines run before the disruptions.
 	settleTime = 8 * time.Second
 	// holderFreeze is how long the holder stands still.
 	holderFreeze = 2 * time.Second
+	// turnedAway is how many machines the store turns away, the holder among them.
+	turnedAway = 5
 	// primaryCut is for how long the primary is partitioned from its replicas and from
-	// four machines, and for how long the store turns the others away. The primary stops
-	// leading a second after the cut has ended.
-	primaryCut = 7 * time.Second
+	// the machines that the store serves. It begins when the holder wakes.
+	primaryCut = 5 * time.Second
+	// demotionAfter is when the old primary stops leading after a promotion has taken
+	// effect. That is half a second after the cut has ended; the pages allow a second.
+	demotionAfter = 3 * time.Second
 	// thawSlack is the time after a freeze in which a machine's requests are not judged.
 	thawSlack      = 300 * time.Millisecond
 	writeInterval  = 25 * time.Millisecond
@@ -119,10 +123,10 @@
 }
 
 // playHolderAfterFreeze freezes the holder of the lease while the store turns it and
-// three others away. The others depose it. The primary of a quiet database is partitioned
+// four others away. The others depose it. The primary of a quiet database is partitioned
 // from its replicas and from the machines that the store serves.
 func playHolderAfterFreeze(r *run) error {
-	p, err := startPlatform(r, line.WithPromotionDelay(600*time.Millisecond, primaryCut+time.Second))
+	p, err := startPlatform(r, line.WithPromotionDelay(promotionDelay, demotionAfter))
 	if err != nil {
 		return err
 	}
@@ -145,8 +149,8 @@
 	} else {
 		time.Sleep(holderFreeze)
 	}
-	second := startWriter(r, "new", machines[5])
-	time.Sleep(primaryCut - holderFreeze)
+	second := startWriter(r, "new", machines[turnedAway])
+	time.Sleep(primaryCut)
 	p.endDisturbance(holderMachines)
 	time.Sleep(2 * time.Second)
 	second.end()
@@ -155,19 +159,21 @@
 
 // disturb begins the disruptions and returns when the holder has run again.
 func (p *platform) disturb(machines []*instance) time.Time {
-	p.rejectMachines(true, 0, 1, 2, 3)
-	p.run.notef("the store answers 503 to %s to %s", machines[0].name, machines[3].name)
+	for m := range turnedAway {
+		p.rejectMachines(true, m)
+	}
+	p.run.notef("the store answers 503 to %s to %s", machines[0].name, machines[turnedAway-1].name)
+	machines[0].signal(syscall.SIGSTOP)
+	p.run.notef("SIGSTOP to %s", machines[0].name)
+	time.Sleep(holderFreeze)
 	var others []string
-	for _, i := range machines[4:] {
+	for _, i := range machines[turnedAway:] {
 		others = append(others, i.name)
 	}
 	p.gates[0].partition(others...)
 	p.servers[1].SetReplicationCut(true)
 	p.servers[2].SetReplicationCut(true)
 	p.run.notef("%s, the primary, is partitioned from its replicas and from %v", p.servers[0].ID(), others)
-	machines[0].signal(syscall.SIGSTOP)
-	p.run.notef("SIGSTOP to %s", machines[0].name)
-	time.Sleep(holderFreeze)
 	machines[0].signal(syscall.SIGCONT)
 	holder, token := p.holder()
 	p.run.notef("SIGCONT to %s; %s holds the lease with token %d", machines[0].name, holder, token)
