Failover: end in a term that no later order can exceed

Cause: a failover that the keeper began itself ended with the highest term among the endpoints that answer, 4 s after the last order. That the order had been accepted, and had started a later term on an endpoint that does not answer, was not considered.

A failover ends in a term that the orders cannot exceed, or with the endpoint of the last order in a term that no earlier one can have started. An endpoint that leads an earlier term is ordered to lead once more, 3 s after the order that has shown no effect; where it was the primary all along, the failover ends with it once that order would have taken effect.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -53,9 +53,9 @@
 	// refusedBy is the last endpoint that refused its promotion, at refusedAt.
 	refusedBy rosemarylb.EndpointID
 	refusedAt time.Time
-	// promotionTarget is the endpoint of the last promotion that was sent.
-	promotionTarget     rosemarylb.EndpointID
-	promotionSentAt     time.Time
+	orders    orders
+	// promotionPending is true while the last order is not answered, promotionAcceptedAt
+	// when it was accepted, zero once its completion is no longer awaited.
 	promotionPending    bool
 	promotionAcceptedAt time.Time
 	retryAt             time.Time
@@ -65,15 +65,6 @@
 	loggedWait string
 }
 
-// promotionsSettled reports whether no promotion of an endpoint other than the
-// current primary can still take effect.
-func (f failover) promotionsSettled(primary rosemarylb.EndpointID, now time.Time) bool {
-	if f.promotionTarget == "" || f.promotionTarget == primary || f.promotionTarget == f.refusedBy && !f.promotionPending {
-		return true
-	}
-	return now.Sub(f.promotionSentAt) > PromotionTimeout+promotionCompletionTimeout
-}
-
 // decideGroup decides what is due for one group: the next step of its failover,
 // the start of one, or the next probe of its primary.
 func (k Keeper) decideGroup(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
@@ -186,7 +177,7 @@
 	}
 	permitsExpired := !g.failover.recordedAt.IsZero() && !now.Before(g.failover.recordedAt.Add(PermitDuration))
 	if id, term, found := k.latestSuccessor(name, now); found {
-		if !permitsExpired || !g.failover.promotionsSettled(id, now) {
+		if !permitsExpired {
 			return k, d
 		}
 		return k.endFailover(name, id, term, now), d
@@ -198,7 +189,7 @@
 		return k, d
 	}
 	if !g.failover.promotionAcceptedAt.IsZero() {
-		if now.Sub(g.failover.promotionAcceptedAt) > promotionCompletionTimeout {
+		if now.Sub(g.failover.promotionAcceptedAt) > g.completionTimeout() {
 			g.failover.promotionAcceptedAt = time.Time{}
 			g.failover.candidate = ""
 			k = k.withGroup(name, g)
@@ -255,9 +246,15 @@
 	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
 ) bool {
 	g := k.groups[name]
-	if g.failover.reason != reasonInherited || id == g.failover.promotionTarget {
+	if g.failover.reason != reasonInherited {
+		return g.failover.isLatest(id, g.states[id])
+	}
+	if id == g.failover.orders.target {
 		return true
 	}
+	if !g.failover.ordersSettled(now) {
+		return false
+	}
 	if k.syncReplicas[name] > 0 {
 		return k.hidesNoLaterPrimary(name, id, t, now)
 	}
@@ -276,7 +273,7 @@
 	g := k.groups[name]
 	previous := g.failover.previous
 	s := g.states[previous.Primary]
-	if g.failover.promotionTarget != "" || !g.failover.stepDownSentAt.IsZero() || g.failover.reason == reasonInherited {
+	if g.failover.orders.target != "" || !g.failover.stepDownSentAt.IsZero() || g.failover.reason == reasonInherited {
 		return false
 	}
 	spec, listed := k.endpointSpec(name, previous.Primary)
@@ -368,9 +365,7 @@
 		// The order may be accepted this time.
 		g.failover.refusedBy = ""
 	}
-	g.failover.promotionSentAt = now
-	g.failover.promotionTarget = g.failover.candidate
-	g.failover.promotionPending = true
+	g.failover = g.failover.withOrderSent(g.failover.candidate, now)
 	g.failover.retryAt = time.Time{}
 	d.Promotions = append(d.Promotions, rosemarylb.Promotion{
 		Group:    name,
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -325,7 +325,7 @@
 	if !found || !g.failover.promotionPending {
 		return k
 	}
-	g.failover.promotionPending = false
+	g.failover = g.failover.withOrderOutcome(o, now)
 	switch o {
 	case rosemarylb.PromotionDone:
 		g.failover.promotionAcceptedAt = now
--- /dev/null
+++ b/internal/failover/keeper/orders_test.go
@@ -0,0 +1,172 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"rosemarylb"
+)
+
+// orderRun is a keeper and three endpoints, of which e1 leads term 1 and is silent. Every
+// promotion is accepted, and every write of the record confirmed.
+type orderRun struct {
+	now    time.Time
+	keeper Keeper
+	// leads are the terms that endpoints lead, silent those that do not answer.
+	leads  map[rosemarylb.EndpointID]rosemarylb.Term
+	silent map[rosemarylb.EndpointID]bool
+	// ordered are the endpoints whose promotions were sent, the last one at orderedAt.
+	ordered   []rosemarylb.EndpointID
+	orderedAt time.Time
+}
+
+const orderRunStep = 20 * time.Millisecond
+
+func newOrderRun() *orderRun {
+	r := &orderRun{
+		now: time.Unix(1000, 0),
+		leads: map[rosemarylb.EndpointID]rosemarylb.Term{
+			"e1": 1,
+		},
+		silent: map[rosemarylb.EndpointID]bool{
+			"e1": true,
+		},
+	}
+	r.keeper = r.withEndpoints(newHolder(r.now))
+	return r
+}
+
+func (*orderRun) withEndpoints(k Keeper) Keeper {
+	var endpoints []rosemarylb.EndpointSpec
+	for _, id := range []rosemarylb.EndpointID{"e1", "e2", "e3"} {
+		endpoints = append(endpoints, rosemarylb.EndpointSpec{
+			ID:       id,
+			Database: "g",
+		})
+	}
+	return k.WithEndpoints(endpoints).WithCatalog(rosemarylb.Catalog{
+		Version: 1,
+	})
+}
+
+// step lets the keeper decide once.
+func (r *orderRun) step() {
+	r.now = r.now.Add(orderRunStep)
+	for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
+		r.keeper = r.keeper.WithReport(Report{
+			From: id,
+		}, r.now)
+	}
+	var d Decision
+	r.keeper, d = r.keeper.Decide(r.now)
+	if d.Write != nil {
+		r.keeper = r.keeper.WithWriteConfirmed(version(r.keeper.version.Revision+1), r.now)
+	}
+	for _, p := range d.Promotions {
+		r.ordered = append(r.ordered, p.Endpoint)
+		r.orderedAt = r.now
+		r.keeper = r.keeper.WithPromotionOutcome(p, rosemarylb.PromotionDone, r.now)
+	}
+	for _, q := range d.Queries {
+		id := q.Endpoint.ID
+		r.keeper = r.keeper.WithStatus(Status{
+			Group:    "g",
+			Endpoint: id,
+			ProbedAt: r.now,
+			Answered: !r.silent[id],
+			Primary:  r.leads[id] > 0,
+			Term:     max(r.leads[id], 1),
+		})
+	}
+}
+
+// granted returns the term in which an endpoint may be used, 0 if it may not.
+func (r *orderRun) granted(id rosemarylb.EndpointID) rosemarylb.Term {
+	grants, _ := r.keeper.Grants(r.now)
+	for _, g := range grants {
+		if g.Primary == id {
+			return g.Term
+		}
+	}
+	return 0
+}
+
+// advance lets the keeper decide for a time, and reports a permit for an endpoint in a term
+// that is not the latest.
+func (r *orderRun) advance(t *testing.T, duration time.Duration, id rosemarylb.EndpointID, replaced rosemarylb.Term) {
+	t.Helper()
+	start := r.now
+	for end := start.Add(duration); r.now.Before(end); {
+		r.step()
+		if r.granted(id) == replaced {
+			t.Fatalf("got a permit for %s in term %d %s later, want none after the promotion of another was accepted",
+				id, replaced, r.now.Sub(start))
+		}
+	}
+}
+
+// awaitOrder lets the keeper decide until it has sent a number of promotions.
+func (r *orderRun) awaitOrder(t *testing.T, number int, timeout time.Duration) rosemarylb.EndpointID {
+	t.Helper()
+	for end := r.now.Add(timeout); r.now.Before(end) && len(r.ordered) < number; {
+		r.step()
+	}
+	if len(r.ordered) < number {
+		t.Fatalf("got %d promotions within %s, want %d", len(r.ordered), timeout, number)
+	}
+	return r.ordered[number-1]
+}
+
+// awaitPermit lets the keeper decide until an endpoint may be used in a term.
+func (r *orderRun) awaitPermit(t *testing.T, id rosemarylb.EndpointID, term rosemarylb.Term, timeout time.Duration) {
+	t.Helper()
+	for end := r.now.Add(timeout); r.now.Before(end) && r.granted(id) != term; {
+		r.step()
+	}
+	if got := r.granted(id); got != term {
+		t.Errorf("got a permit for %s in term %d within %s, want term %d", id, got, timeout, term)
+	}
+}
+
+// loseTwoPrimaries has the keeper order an endpoint, which leads term 2 unseen, and then
+// another one, whose promotion is accepted. Both are silent; it returns the first.
+func (r *orderRun) loseTwoPrimaries(t *testing.T) rosemarylb.EndpointID {
+	t.Helper()
+	first := r.awaitOrder(t, 1, 3*time.Second)
+	r.silent[first] = true
+	r.leads[first] = 2
+	second := r.awaitOrder(t, 2, promotionCompletionTimeout+time.Second)
+	if first == second {
+		t.Fatalf("got %s ordered twice, want another endpoint", first)
+	}
+	r.silent[second] = true
+	return first
+}
+
+// Guards against ONE: a failover ended with an endpoint that leads an earlier term than
+// another one, whose promotion was accepted and which is silent.
+func TestFailoverEndsInTheTermOfItsLastOrder(t *testing.T) {
+	r := newOrderRun()
+	first := r.loseTwoPrimaries(t)
+	r.silent[first] = false
+	secondOrderedAt := r.now
+	r.advance(t, promotionCompletionTimeout+2*time.Second, first, 2)
+	if got := r.awaitOrder(t, 3, 0); got != first {
+		t.Fatalf("got %s ordered, want %s, which answers", got, first)
+	}
+	if got := r.orderedAt.Sub(secondOrderedAt); got > promotionCompletionTimeout+2*orderRunStep {
+		t.Errorf("got the order %s after the one before, want at most %s", got, promotionCompletionTimeout+2*orderRunStep)
+	}
+	r.leads[first] = 4
+	r.awaitPermit(t, first, 4, 2*fastProbeInterval)
+}
+
+// An endpoint that was the primary already leads no later term after its promotion is
+// accepted again: its group stayed without a primary.
+func TestFailoverEndsWithThePrimaryThatAnOrderDoesNotChange(t *testing.T) {
+	r := newOrderRun()
+	first := r.loseTwoPrimaries(t)
+	r.silent[first] = false
+	r.awaitOrder(t, 3, promotionCompletionTimeout+time.Second)
+	r.awaitPermit(t, first, 2, promotionCompletionTimeout+candidateStatusMaxAge)
+}
--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -77,7 +77,7 @@
 		return 0
 	case primary == g.failover.previous.Primary && t == g.failover.previous.Term:
 		return g.failover.previous.Start
-	case primary == g.failover.promotionTarget:
+	case primary == g.failover.orders.target:
 		return g.failover.promotedFrom.LSN
 	default:
 		return g.states[primary].position.LSN
