Failover: a primary of an earlier term steps down before its order

Cause: nothing changes for an endpoint that is the primary when it is ordered to lead. Its term does not rise, and the keeper waited 3.5 s to tell this from an order that has yet to take effect. Each change of the keeper began the wait anew.

Change: a candidate that leads a term of this failover steps down first, so that any later term that it leads is the effect of the order. The wait and its conditions go. The step-down leaves endpoints behind that know of a later term and lead none; an inherited failover does not end in a term below one that an endpoint knows of.

TestPrimaryOfAnEarlierTermStepsDownBeforeItsOrder replaces the test of the wait: it asks for the step-down and for a permit 0.2 s after the new term, where the other one allowed 3.5 s.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -49,7 +49,10 @@
 	// requested earlier have expired after another PermitDuration.
 	recordedAt     time.Time
 	stepDownSentAt time.Time
-	candidate      rosemarylb.EndpointID
+	// stepDownAgainAt is when a candidate that leads an earlier term is asked to step down
+	// once more.
+	stepDownAgainAt time.Time
+	candidate       rosemarylb.EndpointID
 	// refusedBy is the last endpoint that refused its promotion, at refusedAt.
 	refusedBy rosemarylb.EndpointID
 	refusedAt time.Time
@@ -189,7 +192,7 @@
 		return k, d
 	}
 	if !g.failover.promotionAcceptedAt.IsZero() {
-		if now.Sub(g.failover.promotionAcceptedAt) > g.completionTimeout() {
+		if now.Sub(g.failover.promotionAcceptedAt) > promotionCompletionTimeout {
 			g.failover.promotionAcceptedAt = time.Time{}
 			g.failover.candidate = ""
 			k = k.withGroup(name, g)
@@ -247,7 +250,7 @@
 ) bool {
 	g := k.groups[name]
 	if g.failover.reason != reasonInherited {
-		return g.failover.isLatest(id, g.states[id])
+		return g.failover.isLatest(id, t)
 	}
 	if id == g.failover.orders.target {
 		return true
@@ -262,6 +265,10 @@
 		if e.ID != g.failover.previous.Primary && !g.answers(e.ID, now) {
 			return false
 		}
+		if g.states[e.ID].term > t {
+			// It led that term, or replicates from the endpoint that does.
+			return false
+		}
 	}
 	return true
 }
@@ -331,13 +338,7 @@
 	}
 	if g.failover.stepDownSentAt.IsZero() {
 		g.failover.stepDownSentAt = now
-		d.Queries = append(d.Queries, EndpointQuery{
-			Endpoint: spec,
-			Query: rosemarylb.Query{
-				Kind: rosemarylb.QueryStepDown,
-				Term: previous.Term + 1,
-			},
-		})
+		d.Queries = append(d.Queries, stepDownQuery(spec, previous.Term))
 		return k.withGroup(name, g), d, false
 	}
 	return k, d, now.Sub(g.failover.stepDownSentAt) > stepDownTimeout
@@ -358,6 +359,10 @@
 		if k, chosen = k.promotionCandidate(name, now); chosen == "" {
 			return k, d
 		}
+		var replica bool
+		if k, d, replica = k.stepDownBeforeOrder(name, chosen, d, now); !replica {
+			return k, d
+		}
 		g.failover.candidate = chosen
 		g.failover.promotedFrom = g.states[chosen].position
 	}
@@ -365,7 +370,7 @@
 		// The order may be accepted this time.
 		g.failover.refusedBy = ""
 	}
-	g.failover = g.failover.withOrderSent(g.failover.candidate, now)
+	g.failover = g.failover.withOrderSent(g.failover.candidate, g.states[g.failover.candidate].term)
 	g.failover.retryAt = time.Time{}
 	d.Promotions = append(d.Promotions, rosemarylb.Promotion{
 		Group:    name,
--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -300,3 +300,14 @@
 		},
 	}
 }
+
+// stepDownQuery makes an endpoint that leads a term a replica.
+func stepDownQuery(e rosemarylb.EndpointSpec, t rosemarylb.Term) EndpointQuery {
+	return EndpointQuery{
+		Endpoint: e,
+		Query: rosemarylb.Query{
+			Kind: rosemarylb.QueryStepDown,
+			Term: t + 1,
+		},
+	}
+}
--- a/internal/failover/keeper/orders.go
+++ b/internal/failover/keeper/orders.go
@@ -12,28 +12,27 @@
 type orders struct {
 	// target is the endpoint of the last order, empty for none.
 	target rosemarylb.EndpointID
-	// sentAt is when the last order was sent.
-	sentAt time.Time
+	// targetTerm is the term of target when the first order in a row for it was sent.
+	targetTerm rosemarylb.Term
 	// settledAt is when the orders in a row for target have taken effect or never will,
 	// zero while none was accepted. An order without an answer counts as accepted.
 	settledAt time.Time
 	// earlier is the largest number of terms that the orders before these have started or
-	// may yet start.
-	earlier rosemarylb.Term
-	// earlierSettledAt is when those orders have taken effect or never will.
+	// may yet start, until earlierSettledAt.
+	earlier          rosemarylb.Term
 	earlierSettledAt time.Time
 }
 
-// withOrderSent records that the promotion of an endpoint is sent.
-func (f failover) withOrderSent(target rosemarylb.EndpointID, now time.Time) failover {
+// withOrderSent records that the promotion of an endpoint is sent, which is in a term.
+func (f failover) withOrderSent(target rosemarylb.EndpointID, t rosemarylb.Term) failover {
 	if target != f.orders.target {
 		f.orders = orders{
 			target:           target,
+			targetTerm:       t,
 			earlier:          f.orderedTerms(),
 			earlierSettledAt: laterTime(f.orders.earlierSettledAt, f.orders.settledAt),
 		}
 	}
-	f.orders.sentAt = now
 	f.promotionPending = true
 	return f
 }
@@ -61,35 +60,34 @@
 	return !f.promotionPending && !now.Before(f.orders.settledAt) && !now.Before(f.orders.earlierSettledAt)
 }
 
-// isLatest reports whether an endpoint that leads a term, by its status s, is the primary
-// that the orders lead to. It is if no order can start a later term: because of their
-// number, or because the term was started by the last order.
-func (f failover) isLatest(id rosemarylb.EndpointID, s endpointState) bool {
-	previous := f.previous.Term
-	if id != f.orders.target {
-		return s.term >= previous+f.orderedTerms()
+// isLatest reports whether an endpoint that leads a term is the primary that the orders lead
+// to: no order can start a later term, or the last order has started this one.
+func (f failover) isLatest(id rosemarylb.EndpointID, t rosemarylb.Term) bool {
+	if id == f.orders.target {
+		return t > f.orders.targetTerm
 	}
-	return s.term >= previous+f.orders.earlier || f.remainsPrimary(s)
+	return t >= f.previous.Term+f.orderedTerms()
 }
 
-// remainsPrimary reports whether the target of the last order, by its status s, was the
-// primary already when the order was accepted, so that nothing changed: it would lead a
-// later term by now.
-func (f failover) remainsPrimary(s endpointState) bool {
-	if f.promotionAcceptedAt.IsZero() || f.orders.sentAt.Before(f.orders.earlierSettledAt) {
-		return false
+// stepDownBeforeOrder has a successor of the previous primary step down, and reports whether
+// the endpoint leads no term that the orders have started. Nothing changes for one that is
+// ordered while it is the primary, so that its term would not show whether another endpoint
+// leads a later one.
+func (k Keeper) stepDownBeforeOrder(
+	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, d Decision, now time.Time,
+) (Keeper, Decision, bool) {
+	g := k.groups[name]
+	s := g.states[id]
+	if !s.isPrimary || s.term <= g.failover.previous.Term {
+		return k, d, true
 	}
-	return s.probedAt.After(f.promotionAcceptedAt.Add(promotionCompletionTimeout))
-}
-
-// completionTimeout returns how long after an accepted order the next one is sent. Where
-// the target leads a term, its status has to show first whether it remains the primary.
-func (g groupState) completionTimeout() time.Duration {
-	s := g.states[g.failover.orders.target]
-	if s.isPrimary && s.term > g.failover.previous.Term {
-		return promotionCompletionTimeout + candidateStatusMaxAge
+	if now.Before(g.failover.stepDownAgainAt) {
+		return k, d, false
 	}
-	return promotionCompletionTimeout
+	spec, _ := k.endpointSpec(name, id)
+	g.failover.stepDownAgainAt = now.Add(stepDownTimeout)
+	d.Queries = append(d.Queries, stepDownQuery(spec, s.term))
+	return k.withGroup(name, g), d, false
 }
 
 func laterTime(x, y time.Time) time.Time {
