Keeper: the record bounds the orders of a failover

Cause: what an order leaves behind was in its keeper's memory alone. A keeper that inherits a failover ended it with the highest term that it saw once all others answered.

Change: the record says how many terms the orders of a failover may start. The first is part of the write that names the failover; an order for another endpoint is sent once its number is stored. The next keeper counts its own orders on top, and ends the failover with the last term that they can have started, whether or not others answer. The number is not known where the record is of an earlier era or never named a primary; there the former conditions stay. An endpoint that leads a later term under the name of the previous primary is a candidate, and steps down before its order.

Measured: TestInheritedFailoverAwaitsTheLastOrder, TestInheritedFailoverOfOneOrderEndsAtOnce and TestSecondOrderIsSentOnceItIsRecorded failed before.

--- a/internal/failover/keeper/candidate.go
+++ b/internal/failover/keeper/candidate.go
@@ -31,6 +31,18 @@
 	return g.answers(id, now) && !refused
 }
 
+// isPrevious reports whether an endpoint is the previous primary and leads no term of the
+// failover, as it does once it has been promoted again.
+func (g groupState) isPrevious(id rosemarylb.EndpointID) bool {
+	return id == g.failover.previous.Primary && !g.leadsOrderedTerm(id)
+}
+
+// leadsOrderedTerm reports whether an endpoint leads a term that an order has started.
+func (g groupState) leadsOrderedTerm(id rosemarylb.EndpointID) bool {
+	s := g.states[id]
+	return s.isPrimary && s.term > g.failover.previous.Term
+}
+
 // furthestCandidate returns the endpoint whose log is the furthest. If the previous
 // primary has reported its own position, it returns none for up to catchUpTimeout until
 // an endpoint has reached that position.
@@ -43,7 +55,7 @@
 		if !g.isCandidate(e.ID, now) || e.Leaving {
 			continue
 		}
-		if e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted {
+		if g.isPrevious(e.ID) && g.failover.reason != reasonDemoted {
 			continue
 		}
 		if candidate == "" || furthest.Less(s.position) {
@@ -82,7 +94,7 @@
 	switch {
 	case !g.isCandidate(e.ID, now):
 		return 0, false
-	case e.ID == g.failover.previous.Primary && g.failover.reason != reasonDemoted:
+	case g.isPrevious(e.ID) && g.failover.reason != reasonDemoted:
 		return classPrevious, !g.states[e.ID].isPrimary
 	case e.Leaving:
 		return classLeaving, true
--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -161,6 +161,7 @@
 	groups := withLaterLeaderships(k.record.Groups, k.remembered)
 	for name, l := range groups {
 		l.FailingOver = true
+		l.Orders = 0
 		groups[name] = l
 	}
 	return next.WithGroups(groups)
--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -146,6 +146,7 @@
 		startedAt: now,
 		reason:    reason,
 		previous:  l,
+		orders:    k.newOrders(l),
 	}
 	if l.FailingOver {
 		// The record already marked the failover when this keeper took the lease.
@@ -153,6 +154,10 @@
 	}
 	g.desired = l
 	g.desired.FailingOver = true
+	if !l.FailingOver && !g.failover.orders.unknown {
+		// The first order needs no write of its own.
+		g.desired.Orders = 1
+	}
 	k = k.withLogEvent(LogEvent{
 		Event:     "move started",
 		Group:     name,
@@ -242,19 +247,19 @@
 }
 
 // isLatestPrimary reports whether no other endpoint can lead a later term than a
-// successor of the previous primary. Former keepers may have promoted several endpoints
-// without recording it, the last of which need not answer: all but the previous primary
-// have to, unless this keeper has promoted the successor itself.
+// successor of the previous primary. Where it is not known how many promotions former
+// keepers have ordered, the endpoint of the last one need not answer: all but the previous
+// primary have to, unless this keeper has promoted the successor itself.
 func (k Keeper) isLatestPrimary(
 	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
 ) bool {
 	g := k.groups[name]
-	if g.failover.reason != reasonInherited {
-		return g.failover.isLatest(id, t)
-	}
-	if id == g.failover.orders.target {
+	if g.failover.reason == reasonInherited && id == g.failover.orders.target {
 		return true
 	}
+	if !g.failover.orders.unknown {
+		return g.failover.isLatest(id, t)
+	}
 	if !g.failover.ordersSettled(now) {
 		return false
 	}
@@ -347,6 +352,10 @@
 // promote chooses a candidate unless there is one, and sends its promotion. It
 // sends none that could be under way after the lease has expired.
 func (k Keeper) promote(name rosemarylb.DatabaseName, d Decision, now time.Time) (Keeper, Decision) {
+	if k.groups[name].failover.orders.target == "" {
+		// The first order after a change of the keeper is recorded while it waits.
+		k, _ = k.withOrderRecorded(name, "")
+	}
 	g := k.groups[name]
 	if now.Before(k.promoteNotBefore) || now.Before(g.failover.retryAt) {
 		return k, d
@@ -359,6 +368,10 @@
 		if k, chosen = k.promotionCandidate(name, now); chosen == "" {
 			return k, d
 		}
+		var recorded bool
+		if k, recorded = k.withOrderRecorded(name, chosen); !recorded {
+			return k, d
+		}
 		var replica bool
 		if k, d, replica = k.stepDownBeforeOrder(name, chosen, d, now); !replica {
 			return k, d
--- a/internal/failover/keeper/orders.go
+++ b/internal/failover/keeper/orders.go
@@ -10,6 +10,8 @@
 // starts the next term, in the order in which they were accepted. Orders for one endpoint
 // in a row start one term, as nothing changes for an endpoint that is the primary.
 type orders struct {
+	// unknown is true if former keepers may have ordered any number of promotions.
+	unknown bool
 	// target is the endpoint of the last order, empty for none.
 	target rosemarylb.EndpointID
 	// targetTerm is the term of target when the first order in a row for it was sent.
@@ -17,16 +19,53 @@
 	// settledAt is when the orders in a row for target have taken effect or never will,
 	// zero while none was accepted. An order without an answer counts as accepted.
 	settledAt time.Time
-	// earlier is the largest number of terms that the orders before these have started or
-	// may yet start, until earlierSettledAt.
+	// earlier is the largest number of terms that the orders before these, also those of
+	// former keepers, have started or may yet start, until earlierSettledAt.
 	earlier          rosemarylb.Term
 	earlierSettledAt time.Time
 }
 
+// newOrders returns the orders of a failover that begins or is inherited from a former
+// keeper.
+func (k Keeper) newOrders(l Leadership) orders {
+	if !l.FailingOver {
+		return orders{
+			unknown: l.Primary == "",
+		}
+	}
+	return orders{
+		unknown:          l.Orders == 0,
+		earlier:          l.Orders,
+		earlierSettledAt: k.tenure.GrantsFrom.Add(PromotionTimeout + promotionCompletionTimeout),
+	}
+}
+
+// termsWithOrder returns the largest number of terms that the orders may start once an order
+// for an endpoint is sent. Without an endpoint, it is one for which the last order was not.
+func (f failover) termsWithOrder(target rosemarylb.EndpointID) rosemarylb.Term {
+	if target != "" && target == f.orders.target {
+		return f.orders.earlier + 1
+	}
+	return f.orderedTerms() + 1
+}
+
+// withOrderRecorded has the record allow for an order for an endpoint, and reports whether
+// the stored record does. The next keeper knows by it how many terms may have been started.
+func (k Keeper) withOrderRecorded(name rosemarylb.DatabaseName, target rosemarylb.EndpointID) (Keeper, bool) {
+	g := k.groups[name]
+	terms := g.failover.termsWithOrder(target)
+	if g.failover.orders.unknown || k.record.Groups[name].Orders >= terms {
+		return k, true
+	}
+	g.desired.Orders = max(g.desired.Orders, terms)
+	return k.withGroup(name, g), false
+}
+
 // withOrderSent records that the promotion of an endpoint is sent, which is in a term.
 func (f failover) withOrderSent(target rosemarylb.EndpointID, t rosemarylb.Term) failover {
 	if target != f.orders.target {
 		f.orders = orders{
+			unknown:          f.orders.unknown,
 			target:           target,
 			targetTerm:       t,
 			earlier:          f.orderedTerms(),
@@ -77,8 +116,7 @@
 	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, d Decision, now time.Time,
 ) (Keeper, Decision, bool) {
 	g := k.groups[name]
-	s := g.states[id]
-	if !s.isPrimary || s.term <= g.failover.previous.Term {
+	if !g.leadsOrderedTerm(id) {
 		return k, d, true
 	}
 	if now.Before(g.failover.stepDownAgainAt) {
@@ -86,7 +124,7 @@
 	}
 	spec, _ := k.endpointSpec(name, id)
 	g.failover.stepDownAgainAt = now.Add(stepDownTimeout)
-	d.Queries = append(d.Queries, stepDownQuery(spec, s.term))
+	d.Queries = append(d.Queries, stepDownQuery(spec, g.states[id].term))
 	return k.withGroup(name, g), d, false
 }
 
--- a/internal/failover/keeper/orders_test.go
+++ b/internal/failover/keeper/orders_test.go
@@ -15,6 +15,8 @@
 	// leads are the terms that endpoints lead, silent those that do not answer.
 	leads  map[rosemarylb.EndpointID]rosemarylb.Term
 	silent map[rosemarylb.EndpointID]bool
+	// storeAway is true while no write of the record is answered.
+	storeAway bool
 	// ordered are the endpoints whose promotions were sent, the last one at orderedAt.
 	ordered   []rosemarylb.EndpointID
 	orderedAt time.Time
@@ -59,7 +61,7 @@
 	}
 	var d Decision
 	r.keeper, d = r.keeper.Decide(r.now)
-	if d.Write != nil {
+	if d.Write != nil && !r.storeAway {
 		r.keeper = r.keeper.WithWriteConfirmed(version(r.keeper.version.Revision+1), r.now)
 	}
 	for _, p := range d.Promotions {
@@ -83,6 +85,14 @@
 	}
 }
 
+// succeed starts the keeper's process anew, which takes the lease after the former process
+// was killed.
+func (r *orderRun) succeed() {
+	former := r.keeper
+	r.keeper = r.withEndpoints(NewKeeper("i0", 2, "")).WithRecord(former.record, former.version, r.now)
+	r.ordered = nil
+}
+
 // granted returns the term in which an endpoint may be used, 0 if it may not.
 func (r *orderRun) granted(id rosemarylb.EndpointID) rosemarylb.Term {
 	grants, _ := r.keeper.Grants(r.now)
@@ -177,3 +187,46 @@
 	r.leads[first] = 3
 	r.awaitPermit(t, first, 3, 2*fastProbeInterval)
 }
+
+// Guards against ONE: the process that succeeded a killed keeper ended its failover with the
+// primary that it saw, and the last order of the killed one took effect after that.
+func TestInheritedFailoverAwaitsTheLastOrder(t *testing.T) {
+	r := newOrderRun()
+	first := r.loseTwoPrimaries(t)
+	second := r.ordered[1]
+	clear(r.silent)
+	r.silent["e1"] = true
+	r.succeed()
+	r.advance(t, 900*time.Millisecond, first, 2)
+	r.leads[second] = 3
+	r.awaitPermit(t, second, 3, 2*fastProbeInterval)
+}
+
+// A failover with one order need not wait for endpoints that are silent.
+func TestInheritedFailoverOfOneOrderEndsAtOnce(t *testing.T) {
+	r := newOrderRun()
+	first := r.awaitOrder(t, 1, 3*time.Second)
+	r.leads[first] = 2
+	for _, id := range []rosemarylb.EndpointID{"e2", "e3"} {
+		r.silent[id] = id != first
+	}
+	r.succeed()
+	r.awaitPermit(t, first, 2, PermitDuration+2*fastProbeInterval)
+}
+
+// Guards against ONE: a keeper that succeeds one which was killed knows of an order for a
+// second endpoint only if the record has it before it is sent.
+func TestSecondOrderIsSentOnceItIsRecorded(t *testing.T) {
+	r := newOrderRun()
+	r.silent[r.awaitOrder(t, 1, 3*time.Second)] = true
+	r.storeAway = true
+	for range int(2 * promotionCompletionTimeout / orderRunStep) {
+		r.step()
+	}
+	if got := len(r.ordered); got != 1 {
+		t.Fatalf("got %d promotions while the record could not be written, want 1", got)
+	}
+	r.keeper = r.keeper.WithWriteConfirmed(version(r.keeper.version.Revision+1), r.now)
+	r.storeAway = false
+	r.awaitOrder(t, 2, 2*orderRunStep)
+}
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -47,6 +47,9 @@
 	// FailingOver is true during a failover. Another endpoint may be promoted then, so
 	// the record gives no permit to use the primary.
 	FailingOver bool `json:"moving"`
+	// Orders is the largest number of terms that the promotions ordered during the failover
+	// may start, 0 if that is not known. An order that raises it is sent once it is stored.
+	Orders rosemarylb.Term `json:"orders,omitempty"`
 	// Start is how much of the log of a group with synchronous replicas the primary had
 	// at the start of its term, or some time later. It is 0 if that is not known.
 	Start rosemarylb.LSN `json:"start,omitempty"`
