Failover: a term before an order is not its effect

Cause: the endpoint of a keeper's own order counted as the latest primary in any term after that of the previous primary. The term may be that of a former keeper's order, which was followed by another one.

Change: the keeper notes the term of an endpoint when it first orders it, and takes only a later one for the effect.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -254,10 +254,7 @@
 	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
 ) bool {
 	g := k.groups[name]
-	if g.failover.reason == reasonInherited && id == g.failover.orders.target {
-		return true
-	}
-	if !g.failover.orders.unknown {
+	if id == g.failover.orders.target || !g.failover.orders.unknown {
 		return g.failover.isLatest(id, t)
 	}
 	if !g.failover.ordersSettled(now) {
--- a/internal/failover/keeper/orders_test.go
+++ b/internal/failover/keeper/orders_test.go
@@ -12,11 +12,15 @@
 type orderRun struct {
 	now    time.Time
 	keeper Keeper
-	// leads are the terms that endpoints lead, silent those that do not answer.
+	// leads are the terms that endpoints lead, led those of endpoints that have stepped down,
+	// silent the endpoints that do not answer.
 	leads  map[rosemarylb.EndpointID]rosemarylb.Term
+	led    map[rosemarylb.EndpointID]rosemarylb.Term
 	silent map[rosemarylb.EndpointID]bool
 	// storeAway is true while no write of the record is answered.
 	storeAway bool
+	// stepDownLost is true while no step-down has an effect.
+	stepDownLost bool
 	// ordered are the endpoints whose promotions were sent, the last one at orderedAt.
 	ordered   []rosemarylb.EndpointID
 	orderedAt time.Time
@@ -30,6 +34,7 @@
 		leads: map[rosemarylb.EndpointID]rosemarylb.Term{
 			"e1": 1,
 		},
+		led: map[rosemarylb.EndpointID]rosemarylb.Term{},
 		silent: map[rosemarylb.EndpointID]bool{
 			"e1": true,
 		},
@@ -71,7 +76,8 @@
 	}
 	for _, q := range d.Queries {
 		id := q.Endpoint.ID
-		if q.Query.Kind == rosemarylb.QueryStepDown && r.leads[id] < q.Query.Term && !r.silent[id] {
+		if q.Query.Kind == rosemarylb.QueryStepDown && r.leads[id] < q.Query.Term && !r.silent[id] && !r.stepDownLost {
+			r.led[id] = r.leads[id]
 			delete(r.leads, id)
 		}
 		r.keeper = r.keeper.WithStatus(Status{
@@ -80,7 +86,7 @@
 			ProbedAt: r.now,
 			Answered: !r.silent[id],
 			Primary:  r.leads[id] > 0,
-			Term:     max(r.leads[id], 1),
+			Term:     max(r.leads[id], r.led[id], 1),
 		})
 	}
 }
@@ -230,3 +236,25 @@
 	r.storeAway = false
 	r.awaitOrder(t, 2, 2*orderRunStep)
 }
+
+// Guards against ONE: a keeper that inherited a failover ordered an endpoint that leads an
+// earlier term, and took that term for the effect of its order.
+func TestTermBeforeAnOrderIsNotItsEffect(t *testing.T) {
+	r := newOrderRun()
+	first := r.loseTwoPrimaries(t)
+	r.silent[first] = false
+	r.succeed()
+	r.stepDownLost = true
+	r.advance(t, takeoverDelay+2*time.Second, first, 2)
+	if len(r.ordered) > 0 {
+		t.Errorf("got %v ordered, want no endpoint before it has stepped down", r.ordered)
+	}
+	r.stepDownLost = false
+	if got := r.awaitOrder(t, 1, stepDownTimeout+4*orderRunStep); got != first {
+		t.Fatalf("got %s ordered, want %s, which answers", got, first)
+	}
+	r.leads[first] = 2
+	r.advance(t, time.Second, first, 2)
+	r.leads[first] = 4
+	r.awaitPermit(t, first, 4, 2*fastProbeInterval)
+}
