Replication: the start of a term is within the log of its primary

Seen in the model: a group with synchronous replicas stayed without a primary for 25 s after the last fault.

Cause: the start of a term was the position of the endpoint when it was chosen. Its log may be rolled back until the promotion takes effect, and if the primary fails soon after, no log reaches the recorded start.

Change: the start is no later than the log that the endpoint reports once it leads.

--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -78,7 +78,8 @@
 	case primary == g.failover.previous.Primary && t == g.failover.previous.Term:
 		return g.failover.previous.Start
 	case primary == g.failover.orders.target:
-		return g.failover.promotedFrom.LSN
+		// Its log may have been rolled back since it was chosen.
+		return min(g.failover.promotedFrom.LSN, g.states[primary].position.LSN)
 	default:
 		return g.states[primary].position.LSN
 	}
--- a/internal/failover/keeper/replication_test.go
+++ b/internal/failover/keeper/replication_test.go
@@ -276,3 +276,35 @@
 		}
 	}
 }
+
+// A replica was rolled back between its choice and its promotion. The start of its term was
+// taken to be that of its former log, which no log reached once it had failed: the group
+// stayed without a primary.
+func TestStartOfTermIsWithinTheLogOfItsPrimary(t *testing.T) {
+	for name, test := range map[string]struct {
+		promoted rosemarylb.LSN
+		want     rosemarylb.LSN
+	}{
+		"rolled back":       {145, 145},
+		"has received more": {150, 146},
+	} {
+		k := newSynchronousHolder(time.Unix(1000, 0))
+		g := k.groups["g"]
+		g.failover.orders.target = "e2"
+		g.failover.promotedFrom = rosemarylb.Position{
+			Term: 1,
+			LSN:  146,
+		}
+		g = g.withState("e2", endpointState{
+			isPrimary: true,
+			term:      2,
+			position: rosemarylb.Position{
+				Term: 2,
+				LSN:  test.promoted,
+			},
+		})
+		if got := k.withGroup("g", g).termStart("g", "e2", 2); got != test.want {
+			t.Errorf("%s: got the start %d, want %d", name, got, test.want)
+		}
+	}
+}
