Keeper: a primary is used once the record names it

Cause: a keeper that found the primary of a group without a record granted permits for it before the record named it. It lost the lease before that write, and its successor found no primary and promoted a replica.

Change: permits are granted only for groups whose primary is in the stored record, one write later when a group is used for the first time.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -282,7 +282,7 @@
 }
 
 // Grants returns a grant for each group whose primary may be used, or false when
-// this instance may not act as the keeper.
+// this instance may not act as the keeper. The stored record names a primary of each.
 func (k Keeper) Grants(now time.Time) ([]Grant, bool) {
 	if !k.mayAct(now) {
 		return nil, false
@@ -290,7 +290,9 @@
 	var grants []Grant
 	for name := range k.endpoints {
 		l := k.leadership(name)
-		if l.FailingOver || l.Primary == "" {
+		if l.FailingOver || l.Primary == "" || k.record.Groups[name].Primary == "" {
+			// The next keeper has to know of a primary that is in use, as its log may
+			// alone hold acknowledged commits.
 			continue
 		}
 		g := Grant{
--- a/internal/failover/keeper/orders_test.go
+++ b/internal/failover/keeper/orders_test.go
@@ -257,3 +257,22 @@
 	r.leads[first] = 4
 	r.awaitPermit(t, first, 4, 2*fastProbeInterval)
 }
+
+// Guards against LOST: a keeper that found a primary had it used before the record named it.
+// The next keeper promoted a replica, as the primary was silent and no longer listed.
+func TestPrimaryIsUsedOnceTheRecordNamesIt(t *testing.T) {
+	r := newOrderRun()
+	r.keeper.record = r.keeper.record.WithGroups(nil)
+	r.keeper.groups = nil
+	clear(r.silent)
+	r.storeAway = true
+	for range 10 {
+		r.step()
+		if got := r.granted("e1"); got != 0 {
+			t.Fatalf("got a permit for e1 in term %d before the record names it, want none", got)
+		}
+	}
+	r.keeper = r.keeper.WithWriteConfirmed(version(r.keeper.version.Revision+1), r.now)
+	r.storeAway = false
+	r.awaitPermit(t, "e1", 1, 2*orderRunStep)
+}
