Replication: a log of a term that started unseen is measured by its length

Cause: a promotion took effect unseen, and a replica was rolled back to a part of the new primary's log. In a failover that the keeper had begun itself, the start of the previous term stood for that of the new one, so that the short log counted as the furthest.

Change: once an endpoint has been in a later term than the previous primary's, the start of that term is not known, and the previous primary alone does not show what was acknowledged.

--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -243,8 +243,8 @@
 // number of synchronous replicas, so that one of them is heard if no more than that number
 // of endpoints are silent. Heard is an endpoint whose status was requested after the
 // permits of the previous primary had expired: nothing is acknowledged to a caller from
-// then on. The previous primary alone will do, unless former keepers may have promoted
-// another one since.
+// then on. The previous primary alone will do, unless another one may have been promoted
+// since: its replicas are rolled back to its log.
 func (k Keeper) requiredPosition(name rosemarylb.DatabaseName) (rosemarylb.Position, rosemarylb.EndpointID) {
 	g := k.groups[name]
 	previous := g.failover.previous
@@ -269,13 +269,14 @@
 		}
 	}
 	replicas := k.syncReplicas[name]
+	laterTerm := g.knowsLaterTerm(previous.Term)
 	last := g.states[previous.Primary]
 	whole := previous.Primary != "" && g.hasWholeLog(last.position)
 	heard := whole && !last.probedAt.Before(settledAt)
 	switch {
 	case !inherited && len(silent) < replicas:
-		return furthestPosition(positions, previous.Start != 0), ""
-	case !inherited && whole && (heard || g.previousSteppedDown()):
+		return furthestPosition(positions, previous.Start != 0 && !laterTerm), ""
+	case !inherited && !laterTerm && whole && (heard || g.previousSteppedDown()):
 		return last.position, ""
 	case heard && len(silent) <= replicas:
 		return furthestPosition(append(positions, last.position), len(silent) == 0), ""
@@ -286,6 +287,17 @@
 	}
 }
 
+// knowsLaterTerm reports whether an endpoint has been in a later term than a given one: an
+// order has started it, and where its log began is not known.
+func (g groupState) knowsLaterTerm(t rosemarylb.Term) bool {
+	for _, s := range g.states {
+		if s.term > t {
+			return true
+		}
+	}
+	return false
+}
+
 // furthestPosition returns the furthest of several positions. A log may have the term of
 // a primary that it has hardly received anything from, and lack what that primary had at
 // the start of its term. Where that start is not known, and the primary may be silent, the
--- a/internal/failover/keeper/replication_test.go
+++ b/internal/failover/keeper/replication_test.go
@@ -308,3 +308,47 @@
 		}
 	}
 }
+
+// Guards against LOST with sync_replicas: a promotion took effect unseen, and a replica was
+// rolled back to the log of the new term. It was promoted, as it had the latest term, though
+// another one had received more of the previous primary's log.
+func TestReplicaOfAnUnseenTermHoldsTheLongestLog(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, previousAnswers := range map[string]bool{
+		"previous primary is silent": false,
+		"previous primary answers":   true,
+	} {
+		k := newSynchronousHolder(now)
+		g := k.groups["g"]
+		g.failover = failover{
+			startedAt:  now,
+			recordedAt: now,
+			previous: Leadership{
+				Primary: "e1",
+				Term:    1,
+				Start:   10,
+			},
+		}
+		for id, position := range map[rosemarylb.EndpointID]rosemarylb.Position{
+			"e1": {Term: 1, LSN: 25},
+			"e2": {Term: 1, LSN: 20},
+			"e3": {Term: 2, LSN: 15},
+		} {
+			s := endpointState{
+				term:     position.Term,
+				position: position,
+			}
+			if id != "e1" || previousAnswers {
+				s.probedAt = now.Add(time.Second)
+			}
+			g = g.withState(id, s)
+		}
+		want := rosemarylb.Position{
+			Term: 2,
+			LSN:  20,
+		}
+		if got, awaited := k.withGroup("g", g).requiredPosition("g"); got != want || awaited != "" {
+			t.Errorf("%s: got %v and %q awaited, want %v and none", name, got, awaited, want)
+		}
+	}
+}
