Replication: positions of replicas are collected in a function of their own

Cause: the linter found requiredPosition too complex since the last change. Change: its loop is replicaPositions now; nothing else changes. Measured: the linter has no finding, the package's tests pass.

--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -253,21 +253,7 @@
 	if settledAt.Before(k.promoteNotBefore) {
 		settledAt = k.promoteNotBefore
 	}
-	positions := []rosemarylb.Position{{
-		Term: previous.Term,
-		LSN:  previous.Start,
-	}}
-	var silent []rosemarylb.EndpointID
-	for _, id := range k.logHolders(name) {
-		s := g.states[id]
-		switch {
-		case id == previous.Primary:
-		case s.probedAt.Before(settledAt):
-			silent = append(silent, id)
-		default:
-			positions = append(positions, s.position)
-		}
-	}
+	positions, silent := k.replicaPositions(name, settledAt)
 	replicas := k.syncReplicas[name]
 	laterTerm := g.knowsLaterTerm(previous.Term)
 	last := g.states[previous.Primary]
@@ -287,6 +273,30 @@
 	}
 }
 
+// replicaPositions returns the start of the previous primary's term and the positions of the
+// other endpoints that were heard from a time on, and those that were not.
+func (k Keeper) replicaPositions(
+	name rosemarylb.DatabaseName, since time.Time,
+) (positions []rosemarylb.Position, silent []rosemarylb.EndpointID) {
+	g := k.groups[name]
+	previous := g.failover.previous
+	positions = append(positions, rosemarylb.Position{
+		Term: previous.Term,
+		LSN:  previous.Start,
+	})
+	for _, id := range k.logHolders(name) {
+		s := g.states[id]
+		switch {
+		case id == previous.Primary:
+		case s.probedAt.Before(since):
+			silent = append(silent, id)
+		default:
+			positions = append(positions, s.position)
+		}
+	}
+	return positions, silent
+}
+
 // knowsLaterTerm reports whether an endpoint has been in a later term than a given one: an
 // order has started it, and where its log began is not known.
 func (g groupState) knowsLaterTerm(t rosemarylb.Term) bool {
