Keeper: an order that outlives its failover counts

Cause: a failover that ended dropped what the keeper knew of its orders. An order that had been repeated made its endpoint the primary once more, in the next failover, and that term was taken for the effect of the next failover's own order. By reading: an answer to an earlier order was taken for that to the last one, and the lease was released while an earlier order was not answered.

Change: the group keeps when the orders of its last failover have settled and how many are not answered. A failover that begins before counts one term more, as does one that begins before the orders of a former keeper have settled. Answers are matched to their order by its endpoint and deadline. TestLeaseIsKeptWhilePromotionIsPending sends its order by the same function as the keeper, as the flag that it set no longer is all; it asks for the same.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -146,7 +146,7 @@
 		startedAt: now,
 		reason:    reason,
 		previous:  l,
-		orders:    k.newOrders(l),
+		orders:    k.newOrders(name, l, now),
 	}
 	if l.FailingOver {
 		// The record already marked the failover when this keeper took the lease.
@@ -156,7 +156,7 @@
 	g.desired.FailingOver = true
 	if !l.FailingOver && !g.failover.orders.unknown {
 		// The first order needs no write of its own.
-		g.desired.Orders = 1
+		g.desired.Orders = g.failover.termsWithOrder("")
 	}
 	k = k.withLogEvent(LogEvent{
 		Event:     "move started",
@@ -257,7 +257,7 @@
 	if id == g.failover.orders.target || !g.failover.orders.unknown {
 		return g.failover.isLatest(id, t)
 	}
-	if !g.failover.ordersSettled(now) {
+	if now.Before(g.failover.allSettledAt()) {
 		return false
 	}
 	if k.syncReplicas[name] > 0 {
@@ -314,6 +314,7 @@
 	if t != g.failover.previous.Term {
 		g.replication.samples = nil
 	}
+	g.ordersSettledAt = g.failover.allSettledAt()
 	g.failover = failover{}
 	g.observedSince = now
 	return k.withGroup(name, g)
@@ -380,14 +381,14 @@
 		// The order may be accepted this time.
 		g.failover.refusedBy = ""
 	}
-	g.failover = g.failover.withOrderSent(g.failover.candidate, g.states[g.failover.candidate].term)
+	g = g.withOrderSent(g.failover.candidate, now.Add(PromotionTimeout))
 	g.failover.retryAt = time.Time{}
 	d.Promotions = append(d.Promotions, rosemarylb.Promotion{
 		Group:    name,
 		Endpoint: g.failover.candidate,
 		Holder:   k.self,
 		Token:    k.record.Token,
-		Deadline: now.Add(PromotionTimeout),
+		Deadline: g.failover.orders.deadline,
 	})
 	k = k.withLogEvent(LogEvent{
 		Event:     "promotion ordered",
--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -78,6 +78,12 @@
 	// desired is what the record has to say of the group, zero for no change.
 	desired  Leadership
 	failover failover
+	// ordersSettledAt is when all orders of the last failover have taken effect or never
+	// will.
+	ordersSettledAt time.Time
+	// unansweredOrders counts the orders that were sent and not answered, also those of
+	// earlier failovers.
+	unansweredOrders int
 	// replication is what is known of the replication of a group with synchronous
 	// replicas.
 	replication replication
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -312,19 +312,24 @@
 // promotionPending reports whether a promotion has been sent and not answered.
 func (k Keeper) promotionPending() bool {
 	for _, g := range k.groups {
-		if g.failover.promotionPending {
+		if g.unansweredOrders > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// WithPromotionOutcome applies the outcome of a promotion.
+// WithPromotionOutcome applies the outcome of a promotion. That of one for an earlier failover
+// says nothing of the present one.
 func (k Keeper) WithPromotionOutcome(p rosemarylb.Promotion, o rosemarylb.PromotionOutcome, now time.Time) Keeper {
 	g, found := k.groups[p.Group]
-	if !found || !g.failover.promotionPending {
+	if !found || g.unansweredOrders == 0 {
 		return k
 	}
+	g.unansweredOrders--
+	if !g.failover.awaitsAnswer(p) {
+		return k.withGroup(p.Group, g)
+	}
 	g.failover = g.failover.withOrderOutcome(o, now)
 	switch o {
 	case rosemarylb.PromotionDone:
--- a/internal/failover/keeper/orders.go
+++ b/internal/failover/keeper/orders.go
@@ -16,6 +16,8 @@
 	target rosemarylb.EndpointID
 	// targetTerm is the term of target when the first order in a row for it was sent.
 	targetTerm rosemarylb.Term
+	// deadline is that of the last order.
+	deadline time.Time
 	// settledAt is when the orders in a row for target have taken effect or never will,
 	// zero while none was accepted. An order without an answer counts as accepted.
 	settledAt time.Time
@@ -26,18 +28,30 @@
 }
 
 // newOrders returns the orders of a failover that begins or is inherited from a former
-// keeper.
-func (k Keeper) newOrders(l Leadership) orders {
-	if !l.FailingOver {
-		return orders{
-			unknown: l.Primary == "",
-		}
+// keeper. An order of the failover before, or of a former keeper, that has yet to take effect
+// may start a term in one that begins.
+func (k Keeper) newOrders(name rosemarylb.DatabaseName, l Leadership, now time.Time) orders {
+	o := orders{
+		unknown:          l.Primary == "",
+		earlierSettledAt: laterTime(k.groups[name].ordersSettledAt, k.formerOrdersSettledAt()),
+	}
+	switch {
+	case l.FailingOver:
+		o.unknown = l.Orders == 0
+		o.earlier = l.Orders
+	case now.Before(o.earlierSettledAt):
+		o.earlier = 1
 	}
-	return orders{
-		unknown:          l.Orders == 0,
-		earlier:          l.Orders,
-		earlierSettledAt: k.tenure.GrantsFrom.Add(PromotionTimeout + promotionCompletionTimeout),
+	return o
+}
+
+// formerOrdersSettledAt returns when all orders of former keepers have taken effect or never
+// will.
+func (k Keeper) formerOrdersSettledAt() time.Time {
+	if k.tenure.First {
+		return time.Time{}
 	}
+	return k.tenure.GrantsFrom.Add(PromotionTimeout + promotionCompletionTimeout)
 }
 
 // termsWithOrder returns the largest number of terms that the orders may start once an order
@@ -61,19 +75,29 @@
 	return k.withGroup(name, g), false
 }
 
-// withOrderSent records that the promotion of an endpoint is sent, which is in a term.
-func (f failover) withOrderSent(target rosemarylb.EndpointID, t rosemarylb.Term) failover {
+// withOrderSent records that the promotion of an endpoint is sent.
+func (g groupState) withOrderSent(target rosemarylb.EndpointID, deadline time.Time) groupState {
+	f := g.failover
 	if target != f.orders.target {
 		f.orders = orders{
 			unknown:          f.orders.unknown,
 			target:           target,
-			targetTerm:       t,
+			targetTerm:       g.states[target].term,
 			earlier:          f.orderedTerms(),
 			earlierSettledAt: laterTime(f.orders.earlierSettledAt, f.orders.settledAt),
 		}
 	}
+	f.orders.deadline = deadline
 	f.promotionPending = true
-	return f
+	g.failover = f
+	g.unansweredOrders++
+	return g
+}
+
+// awaitsAnswer reports whether a promotion is the last order of the failover and is not
+// answered.
+func (f failover) awaitsAnswer(p rosemarylb.Promotion) bool {
+	return f.promotionPending && p.Endpoint == f.orders.target && p.Deadline.Equal(f.orders.deadline)
 }
 
 // withOrderOutcome records the answer to the last order.
@@ -85,6 +109,15 @@
 	return f
 }
 
+// allSettledAt returns when all orders of the failover have taken effect or never will.
+func (f failover) allSettledAt() time.Time {
+	settledAt := laterTime(f.orders.settledAt, f.orders.earlierSettledAt)
+	if f.promotionPending {
+		return laterTime(settledAt, f.orders.deadline.Add(promotionCompletionTimeout))
+	}
+	return settledAt
+}
+
 // orderedTerms returns the largest number of terms that all orders have started or may yet
 // start.
 func (f failover) orderedTerms() rosemarylb.Term {
@@ -94,11 +127,6 @@
 	return f.orders.earlier
 }
 
-// ordersSettled reports whether no order of this keeper can still take effect.
-func (f failover) ordersSettled(now time.Time) bool {
-	return !f.promotionPending && !now.Before(f.orders.settledAt) && !now.Before(f.orders.earlierSettledAt)
-}
-
 // isLatest reports whether an endpoint that leads a term is the primary that the orders lead
 // to: no order can start a later term, or the last order has started this one.
 func (f failover) isLatest(id rosemarylb.EndpointID, t rosemarylb.Term) bool {
--- a/internal/failover/keeper/orders_test.go
+++ b/internal/failover/keeper/orders_test.go
@@ -8,7 +8,7 @@
 )
 
 // orderRun is a keeper and three endpoints, of which e1 leads term 1 and is silent. Every
-// promotion is accepted, and every write of the record confirmed.
+// promotion is accepted, and every write of the record confirmed, unless a run says otherwise.
 type orderRun struct {
 	now    time.Time
 	keeper Keeper
@@ -21,6 +21,10 @@
 	storeAway bool
 	// stepDownLost is true while no step-down has an effect.
 	stepDownLost bool
+	// outcomes are those of the next promotions. While holdsAnswers, they are kept in held.
+	outcomes     []rosemarylb.PromotionOutcome
+	holdsAnswers bool
+	held         []rosemarylb.Promotion
 	// ordered are the endpoints whose promotions were sent, the last one at orderedAt.
 	ordered   []rosemarylb.EndpointID
 	orderedAt time.Time
@@ -72,7 +76,15 @@
 	for _, p := range d.Promotions {
 		r.ordered = append(r.ordered, p.Endpoint)
 		r.orderedAt = r.now
-		r.keeper = r.keeper.WithPromotionOutcome(p, rosemarylb.PromotionDone, r.now)
+		if r.holdsAnswers {
+			r.held = append(r.held, p)
+			continue
+		}
+		outcome := rosemarylb.PromotionDone
+		if len(r.outcomes) > 0 {
+			outcome, r.outcomes = r.outcomes[0], r.outcomes[1:]
+		}
+		r.keeper = r.keeper.WithPromotionOutcome(p, outcome, r.now)
 	}
 	for _, q := range d.Queries {
 		id := q.Endpoint.ID
@@ -258,6 +270,66 @@
 	r.awaitPermit(t, first, 4, 2*fastProbeInterval)
 }
 
+// repeatOrder has the keeper order an endpoint, which leads term 2 without an answer to the
+// first order; that to the second is held back. It returns the endpoint.
+func (r *orderRun) repeatOrder(t *testing.T) rosemarylb.EndpointID {
+	t.Helper()
+	r.outcomes = []rosemarylb.PromotionOutcome{rosemarylb.PromotionUnknown}
+	first := r.awaitOrder(t, 1, 3*time.Second)
+	r.holdsAnswers = true
+	r.awaitOrder(t, 2, 2*promotionRetryDelay)
+	r.holdsAnswers = false
+	r.leads[first] = 2
+	r.awaitPermit(t, first, 2, 2*fastProbeInterval)
+	return first
+}
+
+// Guards against ONE: an order that was sent twice took effect again in the next failover,
+// whose own order was still to take effect.
+func TestOrderOfAnEarlierFailoverStartsATerm(t *testing.T) {
+	r := newOrderRun()
+	first := r.repeatOrder(t)
+	r.silent[first] = true
+	second := r.awaitOrder(t, 3, 3*time.Second)
+	r.silent[first] = false
+	r.leads[first] = 3
+	for end := r.now.Add(time.Second); r.now.Before(end); {
+		r.step()
+		if got := r.granted(first); got != 0 {
+			t.Fatalf("got a permit for %s in term %d, want none while the order for %s is to take effect", first, got, second)
+		}
+	}
+	r.leads[second] = 4
+	r.awaitPermit(t, second, 4, 2*fastProbeInterval)
+}
+
+// The answer to an order of an earlier failover was taken for that to the present one.
+func TestAnswerToAnEarlierOrderSaysNothing(t *testing.T) {
+	r := newOrderRun()
+	r.silent[r.repeatOrder(t)] = true
+	r.holdsAnswers = true
+	r.awaitOrder(t, 3, 3*time.Second)
+	r.keeper = r.keeper.WithPromotionOutcome(r.held[0], rosemarylb.PromotionRefused, r.now)
+	if g := r.keeper.groups["g"]; !g.failover.promotionPending || g.failover.refusedBy != "" {
+		t.Errorf("got the order pending %t and refused by %q, want true and none", g.failover.promotionPending, g.failover.refusedBy)
+	}
+}
+
+// An order that is not answered arrived after those of the next holder, as the lease was
+// released once the failover had ended.
+func TestLeaseIsKeptWhileAnEarlierOrderIsPending(t *testing.T) {
+	r := newOrderRun()
+	r.repeatOrder(t)
+	k, d := r.keeper.WithShutdown().Decide(r.now)
+	if !k.HoldsLease() || d.Write != nil && d.Write.Record.Holder == "" {
+		t.Fatal("got the lease released while an order is not answered")
+	}
+	k, _ = k.WithPromotionOutcome(r.held[0], rosemarylb.PromotionDone, r.now).Decide(r.now)
+	if k.HoldsLease() {
+		t.Error("got the lease kept after the answer, want it released")
+	}
+}
+
 // Guards against LOST: a keeper that found a primary had it used before the record named it.
 // The next keeper promoted a replica, as the primary was silent and no longer listed.
 func TestPrimaryIsUsedOnceTheRecordNamesIt(t *testing.T) {
--- a/internal/failover/keeper/release_test.go
+++ b/internal/failover/keeper/release_test.go
@@ -77,15 +77,15 @@
 func TestLeaseIsKeptWhilePromotionIsPending(t *testing.T) {
 	now := time.Unix(1000, 0)
 	k := newHolder(now)
-	g := k.groups["g"]
-	g.failover.promotionPending = true
-	k, d := k.withGroup("g", g).WithShutdown().Decide(now)
+	deadline := now.Add(PromotionTimeout)
+	k, d := k.withGroup("g", k.groups["g"].withOrderSent("e2", deadline)).WithShutdown().Decide(now)
 	if _, holds := k.Grants(now); d.Write != nil || !holds {
 		t.Errorf("got write %+v and holds %t while a promotion is pending, want none and true", d.Write, holds)
 	}
 	k, d = k.WithPromotionOutcome(rosemarylb.Promotion{
 		Group:    "g",
 		Endpoint: "e2",
+		Deadline: deadline,
 	}, rosemarylb.PromotionDone, now).Decide(now)
 	if _, holds := k.Grants(now); d.Write == nil || holds {
 		t.Errorf("got write %+v and holds %t after the promotion, want a release and false", d.Write, holds)
