Model of the keeper: endpoints go dark as they are promoted

Cause: endpoints of the model are up or down for all, a promotion of one that is down has no effect, and promotions take 300 ms at the most. So no promotion took effect unseen, and few after a change of the keeper.

--- a/internal/failover/keeperduty/model_replication_test.go
+++ b/internal/failover/keeperduty/model_replication_test.go
@@ -87,6 +87,7 @@
 	for _, endpoint := range s.endpoints {
 		endpoint.downUntil, endpoint.replicationCutUntil = s.now, s.now
 	}
+	clear(s.darkness.until)
 	wanted := s.commits + modelRecoveryCommits
 	for end := s.now.Add(modelRecoveryTime); s.now.Before(end) && s.commits < wanted && len(s.violations) == 0; {
 		s.advance(time.Second)
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -67,6 +67,7 @@
 	revision    uint64
 	restores    storeRestores
 	replication modelReplication
+	darkness    modelDarkness
 	// calm is true once no more faults begin.
 	calm           bool
 	storeDownUntil time.Time
@@ -132,6 +133,7 @@
 		holderByToken: map[uint64]rosemarylb.InstanceID{},
 		restores:      newStoreRestores(seed),
 		replication:   newModelReplication(seed),
+		darkness:      newModelDarkness(seed),
 	}
 	for i := range 3 {
 		s.endpoints = append(s.endpoints, &simulatedEndpoint{
@@ -381,11 +383,11 @@
 // primary becomes a replica in one of 40 steps on average.
 func (s *simulation) replicate() {
 	primary := s.latestPrimary()
-	if !primary.primary || s.now.Before(primary.downUntil) {
+	if !primary.primary || s.now.Before(primary.downUntil) || s.isDark(primary.id) {
 		return
 	}
 	for _, endpoint := range s.endpoints {
-		if endpoint == primary || s.now.Before(endpoint.downUntil) ||
+		if endpoint == primary || s.now.Before(endpoint.downUntil) || s.isDark(endpoint.id) ||
 			s.now.Before(endpoint.replicationCutUntil) || s.random.IntN(3) == 0 {
 			continue
 		}
@@ -580,7 +582,7 @@
 		if s.now.Before(endpoint.downUntil) {
 			outcome = rosemarylb.PromotionRefused
 		} else if s.latestPrimary() != endpoint || !endpoint.primary {
-			s.schedule(300*time.Millisecond, func() { s.makePrimary(endpoint) })
+			s.scheduleMakePrimary(instance, endpoint)
 		}
 		if s.random.IntN(6) == 0 {
 			outcome = rosemarylb.PromotionUnknown
@@ -618,7 +620,7 @@
 		Endpoint: endpoint.id,
 		ProbedAt: requestedAt,
 	}
-	if s.now.Before(instance.endpointCutUntil[endpoint.id]) || s.now.Before(endpoint.downUntil) {
+	if s.now.Before(instance.endpointCutUntil[endpoint.id]) || s.now.Before(endpoint.downUntil) || s.isDark(endpoint.id) {
 		s.schedule(350*time.Millisecond, func() {
 			onInstance(func() { instance.keeper = instance.keeper.WithStatus(status) })
 		})
@@ -755,7 +757,7 @@
 	}
 	isRead := s.random.IntN(2) == 0
 	s.schedule(200*time.Millisecond, func() {
-		if s.now.Before(endpoint.downUntil) || !endpoint.primary {
+		if s.now.Before(endpoint.downUntil) || s.isDark(endpoint.id) || !endpoint.primary {
 			return
 		}
 		log := slices.Clone(endpoint.log)
