Soak: an endpoint goes dark as it is promoted

Cause: a step of the soak makes a random endpoint dark, which seldom meets a promotion, and the previous primary of a stand-in gave up one second after a promotion, though it could not reach the promoted endpoint.

Change: plans with DarkPrimaries crash a primary, wait for the order, and cut the ordered endpoint off from all, or from the keeper alone, before it leads; one in three kills the keeper. A former primary of the stand-ins goes on until a second after it can reach the present one, as the users' servers do.

--- a/internal/experiment/soak/harness.go
+++ b/internal/experiment/soak/harness.go
@@ -159,7 +159,7 @@
 
 func (h *Harness) startGroup(name string, isSynchronous bool) error {
 	options := []line.GroupOption{
-		line.WithLag(30 * time.Millisecond), line.WithPromotionDelay(300*time.Millisecond, time.Second),
+		line.WithLag(30 * time.Millisecond), line.WithPromotionDelay(promotionDelay, time.Second),
 		line.WithStatementTime(3 * time.Millisecond), line.WithConnectionLimit(connectionLimit), line.WithNumberedSignatures(),
 	}
 	if isSynchronous {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -30,6 +30,8 @@
 	Instances, Groups, Callers int
 	// Restores adds restores of the store from older copies to the plan.
 	Restores bool
+	// DarkPrimaries adds steps in which an endpoint goes dark as it is promoted.
+	DarkPrimaries bool
 	// SyncReplicas has the groups acknowledge commits once a replica has received them,
 	// and adds to the plan primaries that crash while a replica drains.
 	SyncReplicas bool
@@ -94,6 +96,9 @@
 	if o.Restores {
 		steps = withRestores(steps, o.Seed, o.Length)
 	}
+	if o.DarkPrimaries {
+		steps = withDarkPrimaries(steps, o.Seed, o.Length)
+	}
 	if o.SyncReplicas {
 		steps = withDrainingReplicas(steps, o.Seed, o.Length)
 	}
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -16,6 +16,7 @@
 	seedCount = flag.Int("count", 1, "number of seeds of a long run")
 	restores  = flag.Bool("restores", false, "restore the store from older copies in a long run")
 	replicas  = flag.Bool("sync-replicas", false, "have synchronous replicas in a long run")
+	dark      = flag.Bool("dark-primaries", false, "have promoted endpoints go dark in a long run")
 )
 
 // regressions are seeds that found a fault, each with the fault that was fixed. The
@@ -59,8 +60,9 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			runSeed(t, program, seed, cause, Options{
-				Restores:     *restores,
-				SyncReplicas: *replicas,
+				Restores:      *restores,
+				SyncReplicas:  *replicas,
+				DarkPrimaries: *dark,
 			})
 		})
 	}
@@ -82,6 +84,14 @@
 	})
 }
 
+// TestDarkPrimariesAreNotOverlooked guards against ONE: an endpoint goes dark, or loses its
+// path to the keeper, as it is promoted, and another one leads an earlier term.
+func TestDarkPrimariesAreNotOverlooked(t *testing.T) {
+	runSeeds(t, []uint64{43001, 43002}, Options{
+		DarkPrimaries: true,
+	})
+}
+
 // runSeeds runs the seeds of a short run with the given options.
 func runSeeds(t *testing.T, seeds []uint64, o Options) {
 	t.Helper()
@@ -103,15 +113,16 @@
 	t.Helper()
 	folder := t.TempDir()
 	r, err := Run(Options{
-		Program:      program,
-		Folder:       folder,
-		Seed:         seed,
-		Length:       15 * time.Second,
-		Instances:    5,
-		Groups:       2,
-		Callers:      16,
-		Restores:     o.Restores,
-		SyncReplicas: o.SyncReplicas,
+		Program:       program,
+		Folder:        folder,
+		Seed:          seed,
+		Length:        15 * time.Second,
+		Instances:     5,
+		Groups:        2,
+		Callers:       16,
+		Restores:      o.Restores,
+		SyncReplicas:  o.SyncReplicas,
+		DarkPrimaries: o.DarkPrimaries,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/line/group.go
+++ b/internal/standin/line/group.go
@@ -64,7 +64,7 @@
 }
 
 // WithPromotionDelay delays the effect of promotions. The previous primary accepts
-// writes for demotionDelay after a promotion has taken effect.
+// writes until demotionDelay after it can reach the promoted endpoint.
 func WithPromotionDelay(delay, demotionDelay time.Duration) GroupOption {
 	return func(g *Group) {
 		g.promotionDelay = delay
@@ -140,6 +140,9 @@
 		}
 	}
 	for _, s := range g.servers {
+		if s != g.leader && s.isPrimary && (s.isCutOff || g.leader.isStopped) {
+			s.primaryUntil = now.Add(g.demotionDelay)
+		}
 		if s != g.leader && s.isPrimary && !now.Before(s.primaryUntil) {
 			s.isPrimary = false
 		}
