Failover: a silent endpoint of a synchronous group may lead a later term

Cause: an inherited failover whose number of orders is not known (a record of an earlier era or version) ended, in a group with synchronous replicas, while as many endpoints as it has synchronous replicas were silent. No commit of a later term can have been acknowledged then, but a silent endpoint may lead one, and what is acknowledged beside it is lost.

Change: all endpoints but the previous primary have to answer, as in other groups, also those that are missing from the list but may hold acknowledged commits.

--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -260,14 +260,11 @@
 	if now.Before(g.failover.allSettledAt()) {
 		return false
 	}
-	if k.syncReplicas[name] > 0 {
-		return k.hidesNoLaterPrimary(name, id, t, now)
-	}
-	for _, e := range k.endpoints[name] {
-		if e.ID != g.failover.previous.Primary && !g.answers(e.ID, now) {
+	for _, other := range k.logHolders(name) {
+		if other != g.failover.previous.Primary && !g.answers(other, now) {
 			return false
 		}
-		if g.states[e.ID].term > t {
+		if g.states[other].term > t {
 			// It led that term, or replicates from the endpoint that does.
 			return false
 		}
--- a/internal/failover/keeper/failover_test.go
+++ b/internal/failover/keeper/failover_test.go
@@ -95,3 +95,39 @@
 		}
 	}
 }
+
+// Guards against ONE with sync_replicas: where the number of orders is not known, an endpoint
+// was taken for the primary while another, which may lead a later term, did not answer.
+func TestInheritedFailoverOfSynchronousGroupAwaitsSilentEndpoint(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for silent, want := range map[rosemarylb.EndpointID]bool{
+		"e1": true,
+		"e3": false,
+	} {
+		k := newSynchronousHolder(now)
+		g := k.groups["g"]
+		g.failover = failover{
+			startedAt: now,
+			reason:    reasonInherited,
+			previous: Leadership{
+				Primary: "e1",
+				Term:    1,
+			},
+			orders: orders{
+				unknown: true,
+			},
+		}
+		for _, e := range k.endpoints["g"] {
+			s := endpointState{
+				term: 1,
+			}
+			if e.ID != silent {
+				s.probedAt = now.Add(time.Second)
+			}
+			g = g.withState(e.ID, s)
+		}
+		if got := k.withGroup("g", g).isLatestPrimary("g", "e2", 2, now.Add(time.Second)); got != want {
+			t.Errorf("%s is silent: got e2 taken for the latest primary %t, want %t", silent, got, want)
+		}
+	}
+}
--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -327,26 +327,6 @@
 	return furthest
 }
 
-// hidesNoLaterPrimary reports whether no endpoint of a group with synchronous replicas can
-// have acknowledged a commit in a later term than a primary. It would be silent, as would
-// be all the replicas that received the commit: others show its term.
-func (k Keeper) hidesNoLaterPrimary(
-	name rosemarylb.DatabaseName, primary rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
-) bool {
-	g := k.groups[name]
-	silent := 0
-	for _, id := range k.logHolders(name) {
-		switch {
-		case id == primary:
-		case !g.answers(id, now):
-			silent++
-		case g.states[id].term > t:
-			return false
-		}
-	}
-	return silent <= k.syncReplicas[name]
-}
-
 // hasWholeLog reports whether a position of the primary's is no earlier than those that it
 // had while it led. One that was started anew under its name may have lost its log.
 func (g groupState) hasWholeLog(p rosemarylb.Position) bool {
