--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -161,6 +161,7 @@
 	Callers   int    `long:"callers" default:"16" description:"number of callers"`
 	Restores  bool   `long:"restores" description:"restore the store from older copies"`
 	Sync      bool   `long:"sync-replicas" description:"acknowledge commits once a replica has them, and crash primaries while a replica drains"`
+	Dark      bool   `long:"dark-primaries" description:"have endpoints go dark as they are promoted"`
 }
 
 // Execute implements flags.Commander.
@@ -184,7 +185,8 @@
 			Callers:   c.Callers,
 			Restores:  c.Restores,
 
-			SyncReplicas: c.Sync,
+			SyncReplicas:  c.Sync,
+			DarkPrimaries: c.Dark,
 		})
 		if err != nil {
 			return err
