--- a/internal/failover/keeper/failover.go
+++ b/internal/failover/keeper/failover.go
@@ -249,7 +249,7 @@
 // isLatestPrimary reports whether no other endpoint can lead a later term than a
 // successor of the previous primary. Where it is not known how many promotions former
 // keepers have ordered, the endpoint of the last one need not answer: all but the previous
-// primary have to, unless this keeper has promoted the successor itself.
+// primary have to, unless the last order has started the term.
 func (k Keeper) isLatestPrimary(
 	name rosemarylb.DatabaseName, id rosemarylb.EndpointID, t rosemarylb.Term, now time.Time,
 ) bool {
