Orders: one time of settling and a flag in place of two times

Cause: two fields held when orders have settled, and the zero of one of them told whether an order had been accepted. Change: settledAt covers all orders that were answered, accepted is a field of its own. Nothing else changes. Measured: the tests of keeper and keeperduty pass as they are.

--- a/internal/failover/keeper/orders.go
+++ b/internal/failover/keeper/orders.go
@@ -18,13 +18,15 @@
 	targetTerm rosemarylb.Term
 	// deadline is that of the last order.
 	deadline time.Time
-	// settledAt is when the orders in a row for target have taken effect or never will,
-	// zero while none was accepted. An order without an answer counts as accepted.
-	settledAt time.Time
+	// accepted is true once one of the orders in a row for target was accepted. An order
+	// without an answer counts as accepted.
+	accepted bool
 	// earlier is the largest number of terms that the orders before these, also those of
-	// former keepers, have started or may yet start, until earlierSettledAt.
-	earlier          rosemarylb.Term
-	earlierSettledAt time.Time
+	// former keepers, have started or may yet start.
+	earlier rosemarylb.Term
+	// settledAt is when all orders that were answered, also the earlier ones, have taken
+	// effect or never will.
+	settledAt time.Time
 }
 
 // newOrders returns the orders of a failover that begins or is inherited from a former
@@ -32,14 +34,14 @@
 // may start a term in one that begins.
 func (k Keeper) newOrders(name rosemarylb.DatabaseName, l Leadership, now time.Time) orders {
 	o := orders{
-		unknown:          l.Primary == "",
-		earlierSettledAt: laterTime(k.groups[name].ordersSettledAt, k.formerOrdersSettledAt()),
+		unknown:   l.Primary == "",
+		settledAt: laterTime(k.groups[name].ordersSettledAt, k.formerOrdersSettledAt()),
 	}
 	switch {
 	case l.FailingOver:
 		o.unknown = l.Orders == 0
 		o.earlier = l.Orders
-	case now.Before(o.earlierSettledAt):
+	case now.Before(o.settledAt):
 		o.earlier = 1
 	}
 	return o
@@ -80,11 +82,11 @@
 	f := g.failover
 	if target != f.orders.target {
 		f.orders = orders{
-			unknown:          f.orders.unknown,
-			target:           target,
-			targetTerm:       g.states[target].term,
-			earlier:          f.orderedTerms(),
-			earlierSettledAt: laterTime(f.orders.earlierSettledAt, f.orders.settledAt),
+			unknown:    f.orders.unknown,
+			target:     target,
+			targetTerm: g.states[target].term,
+			earlier:    f.orderedTerms(),
+			settledAt:  f.orders.settledAt,
 		}
 	}
 	f.orders.deadline = deadline
@@ -104,24 +106,24 @@
 func (f failover) withOrderOutcome(o rosemarylb.PromotionOutcome, now time.Time) failover {
 	f.promotionPending = false
 	if o == rosemarylb.PromotionDone || o == rosemarylb.PromotionUnknown {
-		f.orders.settledAt = now.Add(promotionCompletionTimeout)
+		f.orders.accepted = true
+		f.orders.settledAt = laterTime(f.orders.settledAt, now.Add(promotionCompletionTimeout))
 	}
 	return f
 }
 
 // allSettledAt returns when all orders of the failover have taken effect or never will.
 func (f failover) allSettledAt() time.Time {
-	settledAt := laterTime(f.orders.settledAt, f.orders.earlierSettledAt)
 	if f.promotionPending {
-		return laterTime(settledAt, f.orders.deadline.Add(promotionCompletionTimeout))
+		return laterTime(f.orders.settledAt, f.orders.deadline.Add(promotionCompletionTimeout))
 	}
-	return settledAt
+	return f.orders.settledAt
 }
 
 // orderedTerms returns the largest number of terms that all orders have started or may yet
 // start.
 func (f failover) orderedTerms() rosemarylb.Term {
-	if f.promotionPending || !f.orders.settledAt.IsZero() {
+	if f.promotionPending || f.orders.accepted {
 		return f.orders.earlier + 1
 	}
 	return f.orders.earlier
