Keeper: laterTime serves the older comparisons of two times

Change: lastAnswerAt, isReplaced and requiredPosition call it; nothing else changes. Measured: the tests of keeper and keeperduty pass as they are.

--- a/internal/failover/keeper/health.go
+++ b/internal/failover/keeper/health.go
@@ -190,18 +190,11 @@
 // by this keeper or by any instance, but no time before the group was observed.
 func (k Keeper) lastAnswerAt(name rosemarylb.DatabaseName, l Leadership) time.Time {
 	g := k.groups[name]
-	at := g.answeredAt
-	if g.observedSince.After(at) {
-		at = g.observedSince
-	}
 	reported := k.members.answeredAt[observedPrimary{
 		group:    name,
 		endpoint: l.Primary,
 	}]
-	if reported.After(at) {
-		at = reported
-	}
-	return at
+	return laterTime(reported, laterTime(g.answeredAt, g.observedSince))
 }
 
 // hasEnoughReports reports whether at least half of the instances have reported
--- a/internal/failover/keeper/replication.go
+++ b/internal/failover/keeper/replication.go
@@ -218,10 +218,7 @@
 func (k Keeper) isReplaced(name rosemarylb.DatabaseName, d departure) bool {
 	states := k.groups[name].states
 	last := states[d.spec.ID]
-	endedAt := d.notedAt
-	if last.probedAt.After(endedAt) {
-		endedAt = last.probedAt
-	}
+	endedAt := laterTime(d.notedAt, last.probedAt)
 	received := 0
 	for _, e := range k.endpoints[name] {
 		if e.ID == d.spec.ID || d.spec.Leaving && e.Address == d.spec.Address {
@@ -249,10 +246,7 @@
 	g := k.groups[name]
 	previous := g.failover.previous
 	inherited := g.failover.reason == reasonInherited
-	settledAt := g.failover.recordedAt.Add(PermitDuration)
-	if settledAt.Before(k.promoteNotBefore) {
-		settledAt = k.promoteNotBefore
-	}
+	settledAt := laterTime(g.failover.recordedAt.Add(PermitDuration), k.promoteNotBefore)
 	positions, silent := k.replicaPositions(name, settledAt)
 	replicas := k.syncReplicas[name]
 	laterTerm := g.knowsLaterTerm(previous.Term)
