Soak: one function isolates an endpoint

Cause: the step with dark primaries wrote the cut of isolateEndpoint again, two loops that look for a name, and the same clean-up twice. An order of an unknown instance or endpoint did nothing. Change: isolate serves both steps, the step has one clean-up, and draws its random numbers in the same order as before.

--- a/internal/experiment/soak/dark.go
+++ b/internal/experiment/soak/dark.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -35,7 +36,7 @@
 }
 
 // darkenPromoted crashes a primary, and has the endpoint that is ordered to lead go dark or
-// lose its path to the keeper before it does. In one of three cases the keeper is killed.
+// lose its path to the keeper for a time.
 func darkenPromoted(h *Harness, random *rand.Rand, _ time.Duration) func() {
 	_, primary := h.randomReplica(random)
 	if primary == nil || !h.reserve(primary) {
@@ -44,18 +45,11 @@
 	known := len(h.store.PromotionRequests())
 	h.stopEndpoint(primary)
 	order, found := h.awaitPromotionRequest(primary.group, known)
-	if !found {
-		return func() {
-			defer h.release(primary)
-			h.restartEndpoint(primary)
-		}
-	}
-	time.Sleep(time.Duration(random.Int64N(int64(promotionDelay))))
-	restore := h.darken(order, random.IntN(2) == 0)
-	if random.IntN(3) == 0 {
-		h.signalInstance(order.Holder, syscall.SIGKILL)
+	restore := func() {}
+	if found {
+		restore = h.darken(order, random)
+		time.Sleep(time.Duration(random.Int64N(int64(maxDarkTime))))
 	}
-	time.Sleep(time.Duration(random.Int64N(int64(maxDarkTime))))
 	return func() {
 		defer h.release(primary)
 		restore()
@@ -63,41 +57,26 @@
 	}
 }
 
-// darken cuts an ordered endpoint off from all instances and endpoints, or from the keeper
-// alone. The returned function ends this.
-func (h *Harness) darken(order objects.PromotionRequest, keeperAlone bool) func() {
-	var links []*Link
-	for _, i := range h.instances {
-		if i.name == order.Holder || !keeperAlone {
-			links = append(links, i.endpointLinks[order.Endpoint])
-		}
-	}
-	restoreLinks := injectLinkFaults(links, LinkFaults{
-		HoldToTarget:   true,
-		HoldFromTarget: true,
-	})
+// darken isolates an ordered endpoint, or cuts it off from the keeper alone, before it
+// leads. In one of three cases it kills the keeper. The returned function ends the cut.
+func (h *Harness) darken(order objects.PromotionRequest, random *rand.Rand) func() {
+	time.Sleep(time.Duration(random.Int64N(int64(promotionDelay))))
+	keeperAlone, kill := random.IntN(2) == 0, random.IntN(3) == 0
+	keeper := h.instances[slices.IndexFunc(h.instances, func(i *instance) bool { return i.name == order.Holder })]
+	target := h.endpoints[slices.IndexFunc(h.endpoints, func(e *endpoint) bool { return e.server.ID() == order.Endpoint })]
+	var restore func()
 	if keeperAlone {
-		return restoreLinks
+		restore = injectLinkFaults([]*Link{keeper.endpointLinks[order.Endpoint]}, LinkFaults{
+			HoldToTarget:   true,
+			HoldFromTarget: true,
+		})
+	} else {
+		restore = h.isolate(target)
 	}
-	restoreReplication := func() {}
-	for _, e := range h.endpoints {
-		if e.server.ID() == order.Endpoint {
-			restoreReplication = h.cutReplicationFrom(e)
-		}
-	}
-	return func() {
-		restoreReplication()
-		restoreLinks()
-	}
-}
-
-// signalInstance sends a signal to the process of an instance.
-func (h *Harness) signalInstance(name string, s syscall.Signal) {
-	for _, i := range h.instances {
-		if i.name == name {
-			i.process.Signal(s)
-		}
+	if kill {
+		keeper.process.Signal(syscall.SIGKILL)
 	}
+	return restore
 }
 
 // awaitPromotionRequest returns the first request to promote an endpoint of a group after
--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -290,7 +290,12 @@
 
 // isolateEndpoint cuts an endpoint off from all instances and from its group.
 func isolateEndpoint(h *Harness, random *rand.Rand, _ time.Duration) func() {
-	e := h.randomEndpoint(random)
+	return h.isolate(h.randomEndpoint(random))
+}
+
+// isolate cuts an endpoint off from all instances and from its group. The returned function
+// ends this.
+func (h *Harness) isolate(e *endpoint) func() {
 	var links []*Link
 	for _, i := range h.instances {
 		links = append(links, i.endpointLinks[e.server.ID()])
