Model of the keeper: one report of a failed seed

Cause: four tests wrote the same report, but for the name of a flag. Change: requireNoViolation; the message is the same.

--- a/internal/failover/keeperduty/model_dark_test.go
+++ b/internal/failover/keeperduty/model_dark_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
@@ -32,10 +31,7 @@
 		s.darkness.enabled = true
 		s.run()
 		s.checkRecovery()
-		if len(s.violations) > 0 {
-			t.Fatalf("seed %d: %v\n%s\nreproduce with -args -model-seed %d -dark-count 1", seed, s.violations[0],
-				strings.Join(s.recentEvents, "\n"), seed)
-		}
+		s.requireNoViolation(t, "dark-count")
 		dark += s.darkness.count
 		kills += s.darkness.kills
 		promotions += s.promotions
--- a/internal/failover/keeperduty/model_replication_test.go
+++ b/internal/failover/keeperduty/model_replication_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -56,10 +55,7 @@
 		}
 		s.run()
 		s.checkRecovery()
-		if len(s.violations) > 0 {
-			t.Fatalf("seed %d: %v\n%s\nreproduce with -args -model-seed %d -replication-count 1", seed, s.violations[0],
-				strings.Join(s.recentEvents, "\n"), seed)
-		}
+		s.requireNoViolation(t, "replication-count")
 		drains += s.replication.drains
 		crashes += s.replication.crashes
 		promotions += s.promotions
--- a/internal/failover/keeperduty/model_restore_test.go
+++ b/internal/failover/keeperduty/model_restore_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -35,10 +34,7 @@
 		s := newSimulation(seed)
 		s.restores.enabled = true
 		s.run()
-		if len(s.violations) > 0 {
-			t.Fatalf("seed %d: %v\n%s\nreproduce with -args -model-seed %d -restore-count 1", seed, s.violations[0],
-				strings.Join(s.recentEvents, "\n"), seed)
-		}
+		s.requireNoViolation(t, "restore-count")
 		restores += s.restores.count
 		promotions += s.promotions
 		reclaims += s.restores.reclaims
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -42,10 +42,7 @@
 	for seed := *modelSeed; seed < *modelSeed+uint64(*modelCount); seed++ {
 		s := newSimulation(seed)
 		s.run()
-		if len(s.violations) > 0 {
-			t.Fatalf("seed %d: %v\n%s\nreproduce with -args -model-seed %d -model-count 1", seed, s.violations[0],
-				strings.Join(s.recentEvents, "\n"), seed)
-		}
+		s.requireNoViolation(t, "model-count")
 		promotions += s.promotions
 		commits += s.commits
 		holders += len(s.holderByToken)
@@ -58,6 +55,7 @@
 
 // simulation is the state of one run. The store holds a single record, at revision.
 type simulation struct {
+	seed        uint64
 	random      *rand.Rand
 	now         time.Time
 	instances   []*simulatedInstance
@@ -127,6 +125,7 @@
 
 func newSimulation(seed uint64) *simulation {
 	s := &simulation{
+		seed:          seed,
 		random:        rand.New(rand.NewPCG(seed, 7)),
 		now:           time.Unix(1000, 0),
 		acknowledged:  map[int]bool{},
@@ -193,6 +192,17 @@
 	}
 }
 
+// requireNoViolation fails the test with the first violation of the run, the events before
+// it, and the arguments that repeat it. countFlag is the test's flag for the number of seeds.
+func (s *simulation) requireNoViolation(t *testing.T, countFlag string) {
+	t.Helper()
+	if len(s.violations) == 0 {
+		return
+	}
+	t.Fatalf("seed %d: %v\n%s\nreproduce with -args -model-seed %d -%s 1", s.seed, s.violations[0],
+		strings.Join(s.recentEvents, "\n"), s.seed, countFlag)
+}
+
 // reportViolation ends the run as failed.
 func (s *simulation) reportViolation(text string) {
 	s.violations = append(s.violations, s.now.Sub(time.Unix(1000, 0)).String()+": "+text)
