Keeper: log which witnesses support it and which deposed it

Change: the holder logs when it loses and regains its witnesses, with the names of those that support it; `holder deposed` names the witnesses that have promised.

--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -1,6 +1,9 @@
 package keeper
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"rosemarylb"
@@ -94,7 +97,7 @@
 			continue
 		}
 		others++
-		if m, known := k.members.get(id); known && m.reportedAt.After(since) {
+		if k.isSupportedBy(id, since) {
 			reporting++
 		}
 	}
@@ -102,17 +105,44 @@
 	return reporting >= required
 }
 
+// isSupportedBy reports whether a witness has reported after a time.
+func (k Keeper) isSupportedBy(id rosemarylb.InstanceID, since time.Time) bool {
+	m, known := k.members.get(id)
+	return known && m.reportedAt.After(since)
+}
+
 // withWitnessCheck records since when the holder lacks witnesses.
 func (k Keeper) withWitnessCheck(now time.Time) Keeper {
-	switch {
-	case !k.holdsLease || k.hasWitnesses(now):
+	switch lost := !k.witnessesLostAt.IsZero(); {
+	case !k.holdsLease:
 		k.witnessesLostAt = time.Time{}
-	case k.witnessesLostAt.IsZero():
+	case lost && k.hasWitnesses(now):
+		k = k.withWitnessEvent("witnesses regained", now)
+		k.witnessesLostAt = time.Time{}
+	case !lost && !k.hasWitnesses(now):
 		k.witnessesLostAt = now
+		k = k.withWitnessEvent("witnesses lost", now)
 	}
 	return k
 }
 
+// withWitnessEvent logs a change of the holder's support, with the witnesses whose reports
+// still count and with the time without enough of them.
+func (k Keeper) withWitnessEvent(event string, now time.Time) Keeper {
+	var supporting []string
+	for id := range k.record.Witnesses {
+		if id != k.self && k.isSupportedBy(id, now.Add(-witnessTimeout)) {
+			supporting = append(supporting, string(id))
+		}
+	}
+	slices.Sort(supporting)
+	return k.withLogEvent(LogEvent{
+		Event:     event,
+		Reason:    "supported by " + cmp.Or(strings.Join(supporting, " "), "none"),
+		AgeMillis: now.Sub(k.witnessesLostAt).Milliseconds(),
+	})
+}
+
 // confirmedByStore reports whether a write of the record that took effect was sent
 // within witnessTimeout. A successor takes the lease after that write, and its
 // takeoverDelay exceeds the time for which the write lets this holder act.
--- a/internal/peer/instance/depose.go
+++ b/internal/peer/instance/depose.go
@@ -43,21 +43,22 @@
 	if record.Holder == "" || record.Holder == pr.self {
 		return
 	}
-	witnesses, promised := 0, 0
+	witnesses := 0
 	for id := range record.Witnesses {
 		if id != record.Holder {
 			witnesses++
 		}
 	}
 	_, required := keeper.WitnessQuorum(witnesses)
+	var promised []rosemarylb.InstanceID
 	for id, address := range record.Witnesses {
-		if id != record.Holder && promised < required && pr.requestPromise(id, address, record.Token) {
-			promised++
+		if id != record.Holder && len(promised) < required && pr.requestPromise(id, address, record.Token) {
+			promised = append(promised, id)
 		}
 	}
-	pr.log.Info("holder deposed", "holder", record.Holder, "token", record.Token, "promised", promised,
-		"needed", required, "silent-ms", silent.Milliseconds())
-	if promised >= required {
+	pr.log.Info("holder deposed", "holder", record.Holder, "token", record.Token, "promised", len(promised),
+		"needed", required, "by", promised, "silent-ms", silent.Milliseconds())
+	if len(promised) >= required {
 		pr.keeperRunner.Ring().Put(keeperduty.HolderDeposed{
 			Token: record.Token,
 		})
