Seeds: a question for the holder is no report to the seed's keeper

Cause: an instance that neither the holder nor the store answers asked its seeds for the holder with its whole PermitRequest. The keeper of the seed counted that as a report. A deposed holder that is a seed was thus supported by the witnesses that had promised to ignore it.

Change: FindHolder, a question of its own that does not reach the keeper.

Why this works: what a seed is asked changes nothing at its keeper, so only requests to the holder support it, and a witness sends none after its promise.

--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -246,7 +246,7 @@
 		})
 	}
 	if !reply.GetKeeper() {
-		pr.observeHolder(reply)
+		pr.observeHolder(reply.GetHolderAddress(), reply.GetToken())
 		return errNotKeeper
 	}
 	if !pr.keeperRunner.Witness().ObserveAnswer(pr.keeperToken, now) {
@@ -270,12 +270,12 @@
 	return nil
 }
 
-// observeHolder stores the lease holder that a reply names, if it is a later one.
-func (pr *PermitRequester) observeHolder(reply *link.PermitReply) {
-	if reply.GetToken() > max(pr.keeperToken, pr.holderHint.token) {
+// observeHolder stores the lease holder that another instance names, if it is a later one.
+func (pr *PermitRequester) observeHolder(address string, token uint64) {
+	if token > max(pr.keeperToken, pr.holderHint.token) {
 		pr.holderHint = leaseHolder{
-			address: reply.GetHolderAddress(),
-			token:   reply.GetToken(),
+			address: address,
+			token:   token,
 		}
 	}
 }
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -28,6 +28,7 @@
 	clock   rosemarylb.Clock
 	ring    *duty.Ring[keeperduty.Event]
 	witness *keeperduty.Witness
+	record  *duty.Latest[keeper.Record]
 	// catalogs encodes the configuration in replies, and onCatalog receives it from
 	// requests.
 	catalogs  *catalogEncoder
@@ -53,6 +54,7 @@
 		clock:     clock,
 		ring:      k.Ring(),
 		witness:   k.Witness(),
+		record:    k.LatestRecord(),
 		catalogs:  &catalogEncoder{},
 		onCatalog: onCatalog,
 		meter:     m,
--- a/internal/peer/instance/seed.go
+++ b/internal/peer/instance/seed.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 
+	"rosemarylb"
 	"rosemarylb/internal/message/link"
+	"rosemarylb/internal/process/meter"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 )
 
 // askSeed asks the next seed for the lease holder that it knows. It blocks for at most
-// seedTimeout. The reply's permits are not used, since the seed may not be the
-// holder; the next request goes to the holder itself.
+// seedTimeout. The next request goes to that holder.
 func (pr *PermitRequester) askSeed() {
 	if len(pr.seeds) == 0 {
 		return
@@ -28,18 +29,43 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), seedTimeout)
 	defer cancel()
-	request := pr.newRequest(pr.clock.Now())
+	request := &link.HolderRequest{
+		Domain: string(pr.relayPeer.Domain),
+		Region: string(pr.relayPeer.Region),
+	}
 	traffic := newControlTrafficTo(pr.meter, address)
-	traffic.sent(request, len(request.GetCatalog()))
-	reply, err := link.NewKeeperClient(conn).Ask(ctx, request)
+	traffic.sent(request, 0)
+	reply, err := link.NewKeeperClient(conn).FindHolder(ctx, request)
 	if err != nil {
 		return
 	}
-	traffic.received(reply, len(reply.GetCatalog()))
+	traffic.received(reply, 0)
 	former := pr.holderHint
-	pr.observeHolder(reply)
+	pr.observeHolder(reply.GetAddress(), reply.GetToken())
 	if pr.holderHint != former {
 		pr.log.Info("lease holder learned from a seed", "seed", address, "address", pr.holderHint.address,
 			"token", pr.holderHint.token)
 	}
 }
+
+// FindHolder implements link.KeeperServer. The question does not reach the keeper's duty:
+// whoever asks need not support this instance as the holder, and may have promised to
+// ignore it.
+func (s *permitServer) FindHolder(_ context.Context, request *link.HolderRequest) (*link.HolderReply, error) {
+	traffic := newControlTraffic(s.meter, meter.Location{
+		Domain: rosemarylb.DomainName(request.GetDomain()),
+		Region: rosemarylb.RegionName(request.GetRegion()),
+	})
+	traffic.received(request, 0)
+	record := s.record.Load()
+	reply := &link.HolderReply{
+		Address: record.Address,
+		Token:   record.Token,
+	}
+	// An instance that the keeper notifies does not read the record.
+	if token, address := s.witness.AnsweringHolder(); token > record.Token {
+		reply.Address, reply.Token = address, token
+	}
+	traffic.sent(reply, 0)
+	return reply, nil
+}
