Keeper: a report names the answer that it supports and counts from it

Cause: a request for permits named no holder and counted as a witness's support for 800 ms from its receipt. One that was sent before the witness promised to ignore the holder, and was held up on its way for more than the 2.3 s that a successor waits, let the deposed holder act again.

Change: each reply of the holder has its time by the holder's own clock, also while it lacks witnesses. A request names token and time of the last reply that its sender has accepted, and supports the holder of that token for 800 ms from that time. After its promise a witness accepts none.

Why this works: what a witness can name was sent before its promise, so that its support ends 1.5 s before the first order of a successor, however late the request arrives and whichever question it is.

Measured: TestSupportCountsFromTheAnswerThatItNames fails with the former rule (received late, of an earlier and of a later holder: got mayAct true, want false).

A limit of age in the request alone needs a clock that sender and holder share.

--- a/internal/failover/keeper/bench_test.go
+++ b/internal/failover/keeper/bench_test.go
@@ -51,6 +51,7 @@
 		reports = append(reports, Report{
 			From:         rosemarylb.InstanceID("i" + strconv.Itoa(i)),
 			Observations: observations,
+			Support:      supportOf(k, now),
 			Peer: rosemarylb.RelayPeer{
 				Address: "10.0.0." + strconv.Itoa(i) + ":7440",
 				Region:  "r",
--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -116,7 +116,7 @@
 }
 
 // mayReclaim reports whether this holder may write its record again: enough witnesses
-// support it with reports that were sent after its lease became void. Had another
+// have accepted answers that it sent after its lease became void. Had another
 // instance taken the lease before, they would ignore this one by then.
 func (k Keeper) mayReclaim(now time.Time) bool {
 	return k.mayAct(now) && k.hasWitnessQuorum(k.record.Witnesses, k.reclaimSince.Add(reportIgnoreDuration))
--- a/internal/failover/keeper/era_test.go
+++ b/internal/failover/keeper/era_test.go
@@ -66,7 +66,8 @@
 			if reporting {
 				for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
 					k = k.WithReport(Report{
-						From: id,
+						From:    id,
+						Support: supportOf(k, now),
 					}, now)
 				}
 			}
@@ -188,7 +189,8 @@
 		for now := start; now.Before(start.Add(promotionCompletionTimeout + time.Second)); now = now.Add(100 * time.Millisecond) {
 			for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
 				k = k.WithReport(Report{
-					From: id,
+					From:    id,
+					Support: supportOf(k, now),
 				}, now)
 			}
 			k, _ = k.Decide(now)
--- a/internal/failover/keeper/failover_test.go
+++ b/internal/failover/keeper/failover_test.go
@@ -16,7 +16,8 @@
 	for end := now.Add(6 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
 		for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
 			k = k.WithReport(Report{
-				From: id,
+				From:    id,
+				Support: supportOf(k, now),
 			}, now)
 		}
 		k = k.WithStatus(Status{
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -49,6 +49,8 @@
 type Report struct {
 	// From is the instance that reports.
 	From rosemarylb.InstanceID
+	// Support is the last answer of a holder that the instance has accepted.
+	Support Support
 	// Observations are the instance's observations of each group's primary.
 	Observations []Observation
 	// StoreAnsweredAt is when the store last answered the instance, zero for never.
@@ -64,6 +66,16 @@
 	Capacity int
 }
 
+// Support names the last answer of a holder that an instance has accepted as a witness. It
+// accepts none after a promise to ignore that holder, so that the answer is from before
+// the promise, however late the report that names it is received.
+type Support struct {
+	// Token is the holder's token, 0 for none.
+	Token uint64
+	// AnsweredAt is when the holder sent the answer, by the holder's clock.
+	AnsweredAt time.Time
+}
+
 // Observation is an instance's observation of one primary. Its times are by the
 // keeper's clock.
 type Observation struct {
@@ -233,6 +245,16 @@
 	return k.holdsLease
 }
 
+// AnswersAt returns the time of an answer that an instance may name as its support, zero
+// if this instance does not hold the lease. A holder without enough witnesses regains them
+// by such answers.
+func (k Keeper) AnswersAt(now time.Time) time.Time {
+	if !k.holdsLease {
+		return time.Time{}
+	}
+	return now
+}
+
 // Record returns the record as last read or written.
 func (k Keeper) Record() Record {
 	return k.record
@@ -277,6 +299,10 @@
 	if now.Before(k.ignoreReportsUntil) {
 		return k
 	}
+	if r.Support.AnsweredAt.After(now) {
+		// No answer of this holder can be named yet.
+		r.Support = Support{}
+	}
 	k.members = k.members.withReport(r, now)
 	return k
 }
--- a/internal/failover/keeper/load_test.go
+++ b/internal/failover/keeper/load_test.go
@@ -16,6 +16,7 @@
 			for j := range r.Observations {
 				r.Observations[j].AnsweredAt = now
 			}
+			r.Support = supportOf(k, now)
 			reports[i] = r
 			k = k.WithReport(r, now)
 		}
--- a/internal/failover/keeper/members.go
+++ b/internal/failover/keeper/members.go
@@ -13,6 +13,7 @@
 // member is the last report of an instance.
 type member struct {
 	reportedAt      time.Time
+	support         Support
 	storeAnsweredAt time.Time
 	address         string
 	peer            rosemarylb.RelayPeer
@@ -93,6 +94,7 @@
 	}
 	reported := member{
 		reportedAt:      now,
+		support:         r.Support,
 		storeAnsweredAt: r.StoreAnsweredAt,
 		address:         r.Address,
 		peer:            r.Peer,
--- a/internal/failover/keeper/orders_test.go
+++ b/internal/failover/keeper/orders_test.go
@@ -65,7 +65,8 @@
 	r.now = r.now.Add(orderRunStep)
 	for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
 		r.keeper = r.keeper.WithReport(Report{
-			From: id,
+			From:    id,
+			Support: supportOf(r.keeper, r.now),
 		}, r.now)
 	}
 	var d Decision
--- a/internal/failover/keeper/release_test.go
+++ b/internal/failover/keeper/release_test.go
@@ -8,7 +8,7 @@
 )
 
 // newHolder returns the keeper of i0, which holds the lease without witnesses, has the
-// reports of i0 to i3 and may grant permits for the primary e1 of the group g.
+// reports of i0 to i3, the support of the others and may grant permits for the primary e1 of the group g.
 func newHolder(now time.Time) Keeper {
 	k := newReportedKeeper(now, make([]Observation, 4))
 	k.record = Record{}.WithHolder("i0", 1, "", rosemarylb.Version{}).WithLeadership("g", Leadership{
@@ -20,7 +20,7 @@
 	k.token = k.record.Token
 	k.leaseUntil = now.Add(time.Hour)
 	k.renewAt = now.Add(time.Hour)
-	return k
+	return withSupport(k, supportOf(k, now), now)
 }
 
 // A release of the lease takes effect in the store before its holder learns of it, or
--- a/internal/failover/keeper/replication_test.go
+++ b/internal/failover/keeper/replication_test.go
@@ -64,7 +64,8 @@
 		}
 		for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
 			r.keeper = r.keeper.WithReport(Report{
-				From: id,
+				From:    id,
+				Support: supportOf(r.keeper, now),
 			}, now)
 		}
 		var d Decision
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -13,8 +13,8 @@
 	// maxWitnesses is the number of witnesses in the record. A majority of them
 	// survives single failures, and the record stays small.
 	maxWitnesses = 9
-	// witnessTimeout is how long a witness's report, or a confirmed write of the
-	// record, allows the holder to act.
+	// witnessTimeout is how long an answer that a witness has accepted, or a confirmed
+	// write of the record, allows the holder to act.
 	witnessTimeout = 800 * time.Millisecond
 	// confirmInterval is the interval between writes of the record by a holder
 	// without enough witnesses. Two of them fit into witnessTimeout, for which each
@@ -33,7 +33,7 @@
 )
 
 // WitnessQuorum returns, for a number of witnesses beside the holder, how many have to
-// report to the holder for it to act, and how many have to promise to ignore it to
+// support the holder for it to act, and how many have to promise to ignore it to
 // depose it. Two such sets always share a witness.
 func WitnessQuorum(others int) (support, depose int) {
 	support = others / 2
@@ -75,7 +75,7 @@
 	return k
 }
 
-// hasWitnesses reports whether enough witnesses report to this instance. While a
+// hasWitnesses reports whether enough witnesses support this instance. While a
 // write that may change the witnesses is pending or uncertain, both the old and the
 // new list need a quorum.
 func (k Keeper) hasWitnesses(now time.Time) bool {
@@ -89,26 +89,29 @@
 	return k.hasWitnessQuorum(k.lastWrite.Record.Witnesses, since)
 }
 
-// hasWitnessQuorum reports whether enough of the witnesses have reported after a time.
+// hasWitnessQuorum reports whether enough of the witnesses support this holder by answers
+// sent after a time.
 func (k Keeper) hasWitnessQuorum(witnesses map[rosemarylb.InstanceID]string, since time.Time) bool {
-	others, reporting := 0, 0
+	others, supporting := 0, 0
 	for id := range witnesses {
 		if id == k.self {
 			continue
 		}
 		others++
 		if k.isSupportedBy(id, since) {
-			reporting++
+			supporting++
 		}
 	}
 	required, _ := WitnessQuorum(others)
-	return reporting >= required
+	return supporting >= required
 }
 
-// isSupportedBy reports whether a witness has reported after a time.
+// isSupportedBy reports whether a witness has accepted an answer of this holder that was
+// sent after a time. When its report was received doesn't count, as it may have been on
+// its way since before the witness promised to ignore this holder.
 func (k Keeper) isSupportedBy(id rosemarylb.InstanceID, since time.Time) bool {
 	m, known := k.members.get(id)
-	return known && m.reportedAt.After(since)
+	return known && m.support.Token == k.token && m.support.AnsweredAt.After(since)
 }
 
 // withWitnessCheck records since when the holder lacks witnesses.
@@ -126,8 +129,8 @@
 	return k
 }
 
-// withWitnessEvent logs a change of the holder's support, with the witnesses whose reports
-// still count and with the time without enough of them.
+// withWitnessEvent logs a change of the holder's support, with the witnesses that still
+// support it and with the time without enough of them.
 func (k Keeper) withWitnessEvent(event string, now time.Time) Keeper {
 	var supporting []string
 	for id := range k.record.Witnesses {
--- /dev/null
+++ b/internal/failover/keeper/witness_test.go
@@ -0,0 +1,82 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"rosemarylb"
+)
+
+// supportOf returns the support of an instance that a keeper has just answered.
+func supportOf(k Keeper, now time.Time) Support {
+	return Support{
+		Token:      k.token,
+		AnsweredAt: now,
+	}
+}
+
+// withSupport returns the keeper with a report of i1 to i3 that is received at a time.
+func withSupport(k Keeper, s Support, receivedAt time.Time) Keeper {
+	for _, id := range []rosemarylb.InstanceID{"i1", "i2", "i3"} {
+		k = k.WithReport(Report{
+			From:    id,
+			Support: s,
+		}, receivedAt)
+	}
+	return k
+}
+
+// TestSupportCountsFromTheAnswerThatItNames guards against a deposed holder that acts again
+// by reports which were on their way since before the promises to ignore it, or which
+// support another holder.
+func TestSupportCountsFromTheAnswerThatItNames(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name       string
+		token      uint64
+		answeredAt time.Duration
+		after      time.Duration
+		want       bool
+	}{
+		{"answered now", 1, 0, 0, true},
+		{"until the time-out", 1, 0, witnessTimeout - 1, true},
+		{"received late", 1, 0, witnessTimeout, false},
+		{"of an earlier holder", 0, 0, 0, false},
+		{"of a later holder", 2, 0, 0, false},
+		{"of an answer to come", 1, 1, 0, false},
+	} {
+		now := start.Add(test.after)
+		k := newWitnessedHolder(start)
+		k.members = members{}
+		k.lastActiveAt = now
+		k = withSupport(k, Support{
+			Token:      test.token,
+			AnsweredAt: start.Add(test.answeredAt),
+		}, now)
+		if got := k.mayAct(now); got != test.want {
+			t.Errorf("%s: got mayAct %t, want %t", test.name, got, test.want)
+		}
+	}
+}
+
+// TestHolderWithoutWitnessesGivesAnswersToName guards against a holder that never regains
+// its witnesses, as they have no answer of it to name.
+func TestHolderWithoutWitnessesGivesAnswersToName(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := newWitnessedHolder(now)
+	k.confirmedAt = now.Add(-witnessTimeout)
+	k.members = members{}
+	if _, holds := k.Grants(now); holds {
+		t.Error("got grants of a holder without witnesses")
+	}
+	k = withSupport(k, Support{
+		Token:      1,
+		AnsweredAt: k.AnswersAt(now),
+	}, now)
+	if _, holds := k.Grants(now); !holds {
+		t.Error("got no grants of a holder whose answers its witnesses name")
+	}
+	if got := NewKeeper("i1", 1, "").AnswersAt(now); !got.IsZero() {
+		t.Errorf("got answers at %s of an instance without the lease, want none", got)
+	}
+}
--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -68,6 +68,9 @@
 type PermitReply struct {
 	// IsHolder is true when this instance may act as the lease holder.
 	IsHolder bool
+	// AnsweredAt is the time of this reply while this instance holds the lease, also
+	// without enough witnesses to act, zero otherwise.
+	AnsweredAt time.Time
 	// Grants lists the primaries that may be used, in the order of the list that
 	// GrantsVersion identifies, 0 for none.
 	Grants        []keeper.Grant
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -107,6 +107,8 @@
 	nextDeposeAt         time.Time
 	storeAnsweredAt      time.Time
 	notification         keeper.Notification
+	// support is the last answer of a holder that the instance has accepted.
+	support keeper.Support
 	// latest is the record of the latest holder that the instance knows of.
 	latest    keeper.Record
 	callbacks []func()
@@ -178,6 +180,7 @@
 	instance.witness = &Witness{}
 	instance.permit = rosemarylb.Permit{}
 	instance.notification = keeper.Notification{}
+	instance.support = keeper.Support{}
 	instance.latest = keeper.Record{}
 	instance.callbacks = nil
 	instance.instanceCutUntil = map[rosemarylb.InstanceID]time.Time{}
@@ -682,6 +685,7 @@
 	onHolder := callbackRunner(holder)
 	report := keeper.Report{
 		From:            instance.id,
+		Support:         instance.support,
 		Address:         string(instance.id),
 		StoreAnsweredAt: instance.storeAnsweredAt,
 		Observations: []keeper.Observation{{
@@ -696,11 +700,18 @@
 			released := holder.keeper.ReleasedToken()
 			notifies := holder.keeper.Notifies(instance.id, s.now)
 			watchesStore := holder.keeper.WatchesStore(instance.id)
+			answer := keeper.Support{
+				Token:      holder.keeper.Record().Token,
+				AnsweredAt: holder.keeper.AnswersAt(s.now),
+			}
 			s.schedule(80*time.Millisecond, func() {
 				onInstance(func() {
 					if released != 0 {
 						instance.keeper = instance.keeper.WithLeaseReleased(released)
 					}
+					if !answer.AnsweredAt.IsZero() && instance.witness.Accepts(answer.Token) {
+						instance.support = answer
+					}
 					if holds && instance.witness.ObserveAnswer(record.Token, requestedAt) {
 						s.adoptPermits(instance, permit.FromGrants(grants, requestedAt))
 						if notifies {
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -242,6 +242,7 @@
 	select {
 	case e.Reply <- PermitReply{
 		IsHolder:      holds,
+		AnsweredAt:    r.keeper.AnswersAt(now),
 		Grants:        grants,
 		GrantsVersion: version,
 		Share:         r.keeper.Share(e.Report.From),
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -75,6 +75,7 @@
 	keeperAddress       string
 	keeperToken         uint64
 	holderHint          leaseHolder
+	lastAnswer          holderAnswer
 	keeperFound         *duty.Latest[KeeperAddress]
 	conn                *grpc.ClientConn
 	consecutiveFailures int
@@ -110,6 +111,15 @@
 	token   uint64
 }
 
+// holderAnswer identifies an answer of a lease holder, which the next requests name as the
+// support of this instance.
+type holderAnswer struct {
+	// token is the holder's token, 0 for none.
+	token uint64
+	// micros is the time of the answer by the holder's clock.
+	micros uint64
+}
+
 // NewPermitRequester returns a duty of an instance that is not yet started. It puts
 // permits, shares, peers and endpoints into the rings of the proxy and of the
 // keeper's duty, and reads the record in the store while the keeper is silent.
@@ -240,6 +250,7 @@
 	}
 	traffic.received(reply, len(reply.GetCatalog()))
 	pr.consecutiveFailures = 0
+	pr.observeAnswer(reply)
 	if token := reply.GetReleased(); token != 0 {
 		pr.keeperRunner.Ring().Put(keeperduty.LeaseReleased{
 			Token: token,
@@ -270,6 +281,18 @@
 	return nil
 }
 
+// observeAnswer stores the answer of a lease holder, also of one that lacks the witnesses to
+// act. After a promise to ignore that holder none is accepted.
+func (pr *PermitRequester) observeAnswer(reply *link.PermitReply) {
+	if reply.GetHolderMicros() == 0 || !pr.keeperRunner.Witness().Accepts(reply.GetToken()) {
+		return
+	}
+	pr.lastAnswer = holderAnswer{
+		token:  reply.GetToken(),
+		micros: reply.GetHolderMicros(),
+	}
+}
+
 // observeHolder stores the lease holder that another instance names, if it is a later one.
 func (pr *PermitRequester) observeHolder(address string, token uint64) {
 	if token > max(pr.keeperToken, pr.holderHint.token) {
@@ -309,6 +332,8 @@
 		LoadsVersion:     pr.loads.versionFor(pr.keeperToken),
 		CatalogVersion:   pr.proxyStatus.Load().CatalogVersion,
 		Capacity:         uint32(pr.capacity),
+		Token:            pr.lastAnswer.token,
+		HolderMicros:     pr.lastAnswer.micros,
 		Catalog:          pr.catalogs.contentFor(pr.keeperToken, now),
 	}
 	encodeObservations(request, pr.proxyStatus.Load().Observations, pr.grantList, pr.keeperToken, now)
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -160,6 +160,7 @@
 		},
 		CatalogVersion: request.GetCatalogVersion(),
 		Capacity:       int(request.GetCapacity()),
+		Support:        decodeSupport(request),
 	}
 	for _, e := range request.GetEvidence() {
 		r.Observations = append(r.Observations, keeper.Observation{
@@ -172,6 +173,18 @@
 	return r
 }
 
+// decodeSupport returns the answer of this instance that a request names. Its time is by
+// the clock of this process.
+func decodeSupport(request *link.PermitRequest) keeper.Support {
+	if request.GetToken() == 0 {
+		return keeper.Support{}
+	}
+	return keeper.Support{
+		Token:      request.GetToken(),
+		AnsweredAt: time.UnixMicro(int64(request.GetHolderMicros())),
+	}
+}
+
 // timeBefore returns the time a number of microseconds before now, or the zero
 // time if the number is negative.
 func timeBefore(now time.Time, micros int64) time.Time {
@@ -201,6 +214,9 @@
 		HolderAddress: reply.HolderAddress,
 		Token:         reply.HolderToken,
 	}
+	if !reply.AnsweredAt.IsZero() {
+		encoded.HolderMicros = uint64(reply.AnsweredAt.UnixMicro())
+	}
 	if reply.SendsChanges {
 		encoded.Tells = true
 		encoded.Follows = reply.WatchesStore
--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -24,6 +24,37 @@
 	}})
 }
 
+// TestRequestNamesLastAcceptedAnswer guards against a witness that supports a holder by an
+// answer which it received after its promise to ignore that holder.
+func TestRequestNamesLastAcceptedAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pr, reply := sizedFleet(now)
+	supportAfter := func(at time.Time) keeper.Support {
+		reply.AnsweredAt = at
+		pr.observeAnswer(encodePermitReply(reply, pr.newRequest(now)))
+		return decodeReport(pr.newRequest(now), now).Support
+	}
+	if got := decodeReport(pr.newRequest(now), now).Support; got != (keeper.Support{}) {
+		t.Errorf("got support %+v before any answer, want none", got)
+	}
+	want := keeper.Support{
+		Token:      reply.HolderToken,
+		AnsweredAt: now.Add(time.Microsecond),
+	}
+	if got := supportAfter(want.AnsweredAt); got != want {
+		t.Errorf("got support %+v, want %+v", got, want)
+	}
+	if got := supportAfter(time.Time{}); got != want {
+		t.Errorf("got support %+v after an answer of an instance without the lease, want %+v", got, want)
+	}
+	if !pr.keeperRunner.Witness().PromiseToIgnore(reply.HolderToken, now) {
+		t.Fatal("got no promise")
+	}
+	if got := supportAfter(now.Add(time.Second)); got != want {
+		t.Errorf("got support %+v after the promise, want %+v as before", got, want)
+	}
+}
+
 // A message of another instance, whatever it holds, does not end the keeper's or
 // the asking process.
 func FuzzPermitMessages(f *testing.F) {
--- a/internal/peer/instance/size_test.go
+++ b/internal/peer/instance/size_test.go
@@ -10,6 +10,7 @@
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/failover/permit"
+	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/traffic/proxy"
 
@@ -28,6 +29,7 @@
 		},
 		HolderAddress:    "10.21.14.103:7203",
 		HolderToken:      12,
+		AnsweredAt:       now,
 		SendsChanges:     true,
 		CatalogVersion:   31,
 		EndpointsVersion: 1<<63 + 5,
@@ -66,11 +68,12 @@
 	list := permit.NewGrantList(reply.HolderToken, reply.Grants)
 	reply.Grants, reply.GrantsVersion = list.WithPositions(reply.Grants), list.Version()
 	return &PermitRequester{
-		keeperToken: reply.HolderToken,
-		proxyRing:   duty.NewRing[proxy.Event]("proxy", 64),
-		log:         slog.New(slog.DiscardHandler),
-		self:        "front-r1-a-07",
-		address:     "10.21.14.17:7203",
+		keeperToken:  reply.HolderToken,
+		keeperRunner: keeperduty.NewRunner(keeper.NewKeeper("front-r1-a-07", 1, ""), clock.BootTime{}),
+		proxyRing:    duty.NewRing[proxy.Event]("proxy", 64),
+		log:          slog.New(slog.DiscardHandler),
+		self:         "front-r1-a-07",
+		address:      "10.21.14.17:7203",
 		relayPeer: rosemarylb.RelayPeer{
 			Address: "10.21.14.17:7440",
 			Region:  "north-1",
@@ -99,6 +102,7 @@
 	first := encodePermitReply(reply, pr.newRequest(now))
 	t.Logf("with names: request %d bytes, reply %d bytes", proto.Size(pr.newRequest(now)), proto.Size(first))
 	pr.applyGrants(first, now)
+	pr.observeAnswer(first)
 	request := pr.newRequest(now)
 	again := encodePermitReply(reply, request)
 	t.Logf("with places: request %d bytes, reply %d bytes", proto.Size(request), proto.Size(again))
