Keeper: a holder is deposed by its present witnesses

Cause: an instance remembered only the token of a holder that more than half of the witnesses had promised to ignore. The holder may write another list of witnesses under the same token meanwhile, and the new ones, which have promised nothing, support it.

Change: a deposition counts for the token and the witnesses of the record that it was made for.

Why this works: the support and the promises that count are those of one list, so that the two sets share a witness. While a holder's write of a new list is under way it needs the support of both.

Measured: TestHolderIsDeposedByItsPresentWitnesses fails with the former rule (other witnesses: got the lease taken true, want false).

--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -101,7 +101,7 @@
 	if !k.holdsLease || !k.reclaimSince.IsZero() {
 		return k
 	}
-	if !k.mayAct(now) || !maps.Equal(k.record.Witnesses, k.lastWrite.Record.Witnesses) {
+	if !k.mayAct(now) || !k.record.hasWitnessesOf(k.lastWrite.Record) {
 		return k.withoutLease("store restored")
 	}
 	k.reclaimSince = now
--- a/internal/failover/keeper/era_test.go
+++ b/internal/failover/keeper/era_test.go
@@ -108,7 +108,7 @@
 		"of a deposed holder":    held,
 		"released without write": held,
 	} {
-		k := NewKeeper("i1", 2, "").WithHolderDeposed(1).WithLeaseReleased(1).WithRecord(record, restored(40), start)
+		k := NewKeeper("i1", 2, "").WithHolderDeposed(held).WithLeaseReleased(1).WithRecord(record, restored(40), start)
 		if _, d := k.Decide(start.Add(leaseDuration - time.Second)); d.Write != nil {
 			t.Errorf("%s: got write %+v before the lease has expired", name, d.Write)
 		}
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -181,8 +181,8 @@
 	// releasedToken is the highest token whose holder has released the lease
 	// without writing the record.
 	releasedToken uint64
-	// deposedToken is the highest token whose holder has been deposed.
-	deposedToken       uint64
+	// deposed is the record of the latest holder that has been deposed.
+	deposed            Record
 	lastActiveAt       time.Time
 	ignoreReportsUntil time.Time
 	witnessesLostAt    time.Time
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"maps"
 	"time"
 
 	"rosemarylb"
@@ -193,7 +192,7 @@
 	if now.After(k.membersSince.Add(memberTimeout)) {
 		next = next.WithMembers(k.members.count()).WithWitnesses(k.nextWitnesses())
 	}
-	changed := next.Members != k.record.Members || !maps.Equal(next.Witnesses, k.record.Witnesses)
+	changed := next.Members != k.record.Members || !next.hasWitnessesOf(k.record)
 	if k.needsNewToken(now) {
 		next = next.WithHolder(k.self, k.process, k.address, k.version)
 		changed = true
@@ -239,7 +238,7 @@
 	switch {
 	case k.isStale(k.record, k.version):
 		return !now.Before(k.recordSeenAt.Add(leaseDuration))
-	case k.leaseReleased(), k.record.Holder == k.self, k.deposedToken != 0 && k.deposedToken == k.record.Token:
+	case k.leaseReleased(), k.record.Holder == k.self, k.holderDeposed():
 		return true
 	default:
 		return !now.Before(k.recordSeenAt.Add(leaseDuration))
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -103,6 +103,11 @@
 	return r
 }
 
+// hasWitnessesOf reports whether the record names the same witnesses as another one.
+func (r Record) hasWitnessesOf(other Record) bool {
+	return maps.Equal(r.Witnesses, other.Witnesses)
+}
+
 // WithHolder sets the process that holds the lease, with a token that is above that of
 // the record and above all tokens issued before in the era. replaced is the version of
 // the stored record that the new one replaces.
--- a/internal/failover/keeper/succession_test.go
+++ b/internal/failover/keeper/succession_test.go
@@ -55,7 +55,7 @@
 	for _, test := range tests {
 		start := time.Unix(1000, 0)
 		k := NewKeeper(test.self, 2, "")
-		k = k.WithRecord(test.record, version(1), start).WithHolderDeposed(test.record.Token)
+		k = k.WithRecord(test.record, version(1), start).WithHolderDeposed(test.record)
 		took := time.Duration(-1)
 		for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(50 * time.Millisecond) {
 			var d Decision
@@ -69,3 +69,32 @@
 		}
 	}
 }
+
+// TestHolderIsDeposedByItsPresentWitnesses guards against a successor beside a holder that has
+// replaced the witnesses which promised to ignore it: the new ones support it.
+func TestHolderIsDeposedByItsPresentWitnesses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	deposed := Record{}.WithHolder("old", 1, "", rosemarylb.Version{}).WithWitnesses(map[rosemarylb.InstanceID]string{
+		"w1": "",
+		"w2": "",
+	})
+	replaced := map[rosemarylb.InstanceID]string{
+		"w1": "",
+		"w3": "",
+		"w4": "",
+	}
+	for _, test := range []struct {
+		name   string
+		record Record
+		want   bool
+	}{
+		{"the same witnesses", deposed.WithMembers(7).WithNextSequence(), true},
+		{"other witnesses", deposed.WithWitnesses(replaced), false},
+		{"another holder with the same witnesses", deposed.WithHolder("new", 1, "", rosemarylb.Version{}), false},
+	} {
+		k := NewKeeper("w1", 1, "").WithHolderDeposed(deposed).WithRecord(test.record, version(2), now)
+		if _, d := k.Decide(now); (d.Write != nil) != test.want {
+			t.Errorf("%s: got the lease taken %t, want %t", test.name, d.Write != nil, test.want)
+		}
+	}
+}
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -165,9 +165,17 @@
 	return !k.witnessesLostAt.IsZero() && now.Sub(k.witnessesLostAt) > newTokenDelay && k.storeFailingSince.IsZero()
 }
 
-// WithHolderDeposed records that enough witnesses have promised to ignore the
-// holder of a token.
-func (k Keeper) WithHolderDeposed(token uint64) Keeper {
-	k.deposedToken = max(k.deposedToken, token)
+// WithHolderDeposed records that enough witnesses in a record have promised to ignore its
+// holder.
+func (k Keeper) WithHolderDeposed(r Record) Keeper {
+	if r.Token >= k.deposed.Token {
+		k.deposed = r
+	}
 	return k
 }
+
+// holderDeposed reports whether the holder has been deposed by witnesses whose support it
+// needs. Those of an earlier list need not share one with the present list.
+func (k Keeper) holderDeposed() bool {
+	return k.deposed.Token != 0 && k.deposed.Token == k.record.Token && k.deposed.hasWitnessesOf(k.record)
+}
--- a/internal/failover/keeperduty/event.go
+++ b/internal/failover/keeperduty/event.go
@@ -117,8 +117,8 @@
 // HolderDeposed reports that enough witnesses have promised to ignore a lease
 // holder for another instance to take the lease.
 type HolderDeposed struct {
-	// Token is the token of the deposed holder.
-	Token uint64
+	// Record is the record whose holder they ignore and that names them as witnesses.
+	Record keeper.Record
 }
 
 // holderAnswered reports that the lease holder answers this instance, so that the
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -758,7 +758,7 @@
 		}
 	}
 	if _, need := keeper.WitnessQuorum(others); promised >= need {
-		instance.keeper = instance.keeper.WithHolderDeposed(record.Token)
+		instance.keeper = instance.keeper.WithHolderDeposed(record)
 	}
 }
 
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -201,7 +201,7 @@
 	case LeaseReleased:
 		r.keeper = r.keeper.WithLeaseReleased(e.Token)
 	case HolderDeposed:
-		r.keeper = r.keeper.WithHolderDeposed(e.Token)
+		r.keeper = r.keeper.WithHolderDeposed(e.Record)
 	case writeFinished:
 		r.handleWriteFinished(e, now)
 	case readFailed:
--- a/internal/peer/instance/depose.go
+++ b/internal/peer/instance/depose.go
@@ -60,7 +60,7 @@
 		"needed", required, "by", promised, "silent-ms", silent.Milliseconds())
 	if len(promised) >= required {
 		pr.keeperRunner.Ring().Put(keeperduty.HolderDeposed{
-			Token: record.Token,
+			Record: record,
 		})
 	}
 }
