Keeper: a list of witnesses that may be stored late counts

Cause: after a write without an answer the holder read the record, and took a record without that write for its end. The write could take effect later, until the same version was replaced. The witnesses that it names could then depose the holder, while those of the list that it had read supported it.

Change: the holder needs the support of both lists until the write is answered or its version is no longer the stored one.

Why this works: any list that may be in the record is one whose support the holder needs, so that no promises of more than half of it pass by it.

Measured: TestLateWriteOfWitnessesNeedsTheirSupport fails with the former rule (read without it: got witnesses true, want false).

--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -75,18 +75,22 @@
 	return k
 }
 
-// hasWitnesses reports whether enough witnesses support this instance. While a
-// write that may change the witnesses is pending or uncertain, both the old and the
-// new list need a quorum.
+// hasWitnesses reports whether enough witnesses support this instance. While a write
+// that may change the witnesses may take effect, both the old and the new list need a
+// quorum.
 func (k Keeper) hasWitnesses(now time.Time) bool {
 	since := now.Add(-witnessTimeout)
 	if !k.hasWitnessQuorum(k.record.Witnesses, since) {
 		return false
 	}
-	if !k.writePending && !k.recordUncertain {
-		return true
-	}
-	return k.hasWitnessQuorum(k.lastWrite.Record.Witnesses, since)
+	return !k.writeMayTakeEffect() || k.hasWitnessQuorum(k.lastWrite.Record.Witnesses, since)
+}
+
+// writeMayTakeEffect reports whether the last write may be stored without this instance
+// knowing it. One that was not answered may be late, also after a read that does not show
+// it, until the version that it replaces has been replaced.
+func (k Keeper) writeMayTakeEffect() bool {
+	return k.writePending || k.recordUncertain || k.writeUnanswered && k.version == k.lastWrite.Replaces
 }
 
 // hasWitnessQuorum reports whether enough of the witnesses support this holder by answers
--- a/internal/failover/keeper/witness_test.go
+++ b/internal/failover/keeper/witness_test.go
@@ -80,3 +80,37 @@
 		t.Errorf("got answers at %s of an instance without the lease, want none", got)
 	}
 }
+
+// TestLateWriteOfWitnessesNeedsTheirSupport guards against a holder that acts with the
+// witnesses of the record that it has read, while a write of it that names others takes
+// effect: those others may have deposed it.
+func TestLateWriteOfWitnessesNeedsTheirSupport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := newWitnessedHolder(now)
+	k.writePending = true
+	k.lastWrite = Write{
+		Record: k.record.WithWitnesses(map[rosemarylb.InstanceID]string{
+			"i0": "",
+			"i4": "",
+			"i5": "",
+		}).WithNextSequence(),
+		Replaces: k.version,
+	}
+	unanswered := k.WithWriteUnanswered(now)
+	read := unanswered.WithRecord(k.record, k.version, now)
+	for _, test := range []struct {
+		name   string
+		keeper Keeper
+		want   bool
+	}{
+		{"under way", k, false},
+		{"not answered", unanswered, false},
+		{"read without it", read, false},
+		{"refused", k.WithWriteConflict(k.record, version(2), now), true},
+		{"another write is stored", read.WithRecord(k.record, version(2), now), true},
+	} {
+		if got := test.keeper.hasWitnesses(now); got != test.want {
+			t.Errorf("%s: got witnesses %t, want %t", test.name, got, test.want)
+		}
+	}
+}
