Keeper: a witness counts by the process that the record names

Cause: a witness keeps its promise to ignore a holder in memory. A process that starts anew, is turned away by the store and learns of the deposed holder from a seed asks that holder for permits, and supports it.

Change: the record names the processes of the witnesses, a request that of its sender. Only the processes in the record support the holder. A deposition counts for the processes of the present record.

Why this works: a new process counts once the holder has written it, and that write is refused if a successor has written the record. If it is not, the promise of the former process counts no more.

Measured: TestRestartedWitnessSupportsOnceItIsStored fails without the check of the process (got a holder that acts by a process that the record does not name).

--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -119,7 +119,7 @@
 // have accepted answers that it sent after its lease became void. Had another
 // instance taken the lease before, they would ignore this one by then.
 func (k Keeper) mayReclaim(now time.Time) bool {
-	return k.mayAct(now) && k.hasWitnessQuorum(k.record.Witnesses, k.reclaimSince.Add(reportIgnoreDuration))
+	return k.mayAct(now) && k.hasWitnessQuorum(k.record, k.reclaimSince.Add(reportIgnoreDuration))
 }
 
 // reclaimedRecord returns the record with a token of the present era and the primaries
--- a/internal/failover/keeper/era_test.go
+++ b/internal/failover/keeper/era_test.go
@@ -48,7 +48,7 @@
 // newWitnessedHolder returns a holder that i1 to i3 witness.
 func newWitnessedHolder(now time.Time) Keeper {
 	k := newHolder(now)
-	k.record = k.record.WithWitnesses(map[rosemarylb.InstanceID]string{"i0": "", "i1": "", "i2": "", "i3": ""})
+	k.record = k.record.WithWitnesses(map[rosemarylb.InstanceID]string{"i0": "", "i1": "", "i2": "", "i3": ""}, nil)
 	k.lastWrite.Record = k.record
 	return k
 }
--- a/internal/failover/keeper/health_test.go
+++ b/internal/failover/keeper/health_test.go
@@ -94,7 +94,7 @@
 		"i1": "",
 		"i2": "",
 		"i3": "",
-	})
+	}, nil)
 	tests := []struct {
 		name      string
 		confirmed time.Duration
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -49,6 +49,8 @@
 type Report struct {
 	// From is the instance that reports.
 	From rosemarylb.InstanceID
+	// Process identifies the instance's process as a witness.
+	Process uint32
 	// Support is the last answer of a holder that the instance has accepted.
 	Support Support
 	// Observations are the instance's observations of each group's primary.
@@ -242,6 +244,11 @@
 	}
 }
 
+// WitnessProcess returns the number that identifies the process as a witness.
+func (k Keeper) WitnessProcess() uint32 {
+	return uint32(k.process)
+}
+
 // HoldsLease reports whether the instance holds the lease.
 func (k Keeper) HoldsLease() bool {
 	return k.holdsLease
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -190,10 +190,7 @@
 		k = k.withAvailability(now)
 		return k, k.takenRecord(), k.mayTakeLease(now)
 	}
-	next := k.record
-	if now.After(k.membersSince.Add(memberTimeout)) {
-		next = next.WithMembers(k.members.count()).WithWitnesses(k.nextWitnesses())
-	}
+	next := k.withNextWitnesses(k.record, now)
 	changed := next.Members != k.record.Members || !next.hasWitnessesOf(k.record)
 	if k.needsNewToken(now) {
 		next = next.WithHolder(k.self, k.process, k.address, k.version)
--- a/internal/failover/keeper/members.go
+++ b/internal/failover/keeper/members.go
@@ -13,6 +13,7 @@
 // member is the last report of an instance.
 type member struct {
 	reportedAt      time.Time
+	process         uint32
 	support         Support
 	storeAnsweredAt time.Time
 	address         string
@@ -94,6 +95,7 @@
 	}
 	reported := member{
 		reportedAt:      now,
+		process:         r.Process,
 		support:         r.Support,
 		storeAnsweredAt: r.StoreAnsweredAt,
 		address:         r.Address,
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -34,6 +34,9 @@
 	// enough of them report to it, and enough of them can depose it before its
 	// lease expires.
 	Witnesses map[rosemarylb.InstanceID]string `json:"witnesses,omitempty"`
+	// WitnessProcesses identify the processes of the witnesses. One that has started since
+	// knows no promise of its predecessor, and doesn't count.
+	WitnessProcesses map[rosemarylb.InstanceID]uint32 `json:"witness-processes,omitempty"`
 	// Groups are the primaries of the groups.
 	Groups map[rosemarylb.DatabaseName]Leadership `json:"groups"`
 }
@@ -97,15 +100,19 @@
 	return r
 }
 
-// WithWitnesses sets the witnesses and their addresses.
-func (r Record) WithWitnesses(witnesses map[rosemarylb.InstanceID]string) Record {
+// WithWitnesses sets the witnesses with their addresses, and their processes.
+func (r Record) WithWitnesses(
+	witnesses map[rosemarylb.InstanceID]string, processes map[rosemarylb.InstanceID]uint32,
+) Record {
 	r.Witnesses = witnesses
+	r.WitnessProcesses = processes
 	return r
 }
 
-// hasWitnessesOf reports whether the record names the same witnesses as another one.
+// hasWitnessesOf reports whether the record names the same witnesses as another one, and
+// the same processes of them.
 func (r Record) hasWitnessesOf(other Record) bool {
-	return maps.Equal(r.Witnesses, other.Witnesses)
+	return maps.Equal(r.Witnesses, other.Witnesses) && maps.Equal(r.WitnessProcesses, other.WitnessProcesses)
 }
 
 // WithHolder sets the process that holds the lease, with a token that is above that of
--- a/internal/failover/keeper/succession_test.go
+++ b/internal/failover/keeper/succession_test.go
@@ -39,7 +39,7 @@
 	deposed := Record{}.WithHolder("old", 1, "", rosemarylb.Version{}).WithWitnesses(map[rosemarylb.InstanceID]string{
 		"old":     "",
 		"witness": "",
-	})
+	}, nil)
 	tests := []struct {
 		name    string
 		self    rosemarylb.InstanceID
@@ -77,7 +77,7 @@
 	deposed := Record{}.WithHolder("old", 1, "", rosemarylb.Version{}).WithWitnesses(map[rosemarylb.InstanceID]string{
 		"w1": "",
 		"w2": "",
-	})
+	}, nil)
 	replaced := map[rosemarylb.InstanceID]string{
 		"w1": "",
 		"w3": "",
@@ -89,7 +89,7 @@
 		want   bool
 	}{
 		{"the same witnesses", deposed.WithMembers(7).WithNextSequence(), true},
-		{"other witnesses", deposed.WithWitnesses(replaced), false},
+		{"other witnesses", deposed.WithWitnesses(replaced, nil), false},
 		{"another holder with the same witnesses", deposed.WithHolder("new", 1, "", rosemarylb.Version{}), false},
 	} {
 		k := NewKeeper("w1", 1, "").WithHolderDeposed(deposed).WithRecord(test.record, version(2), now)
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -61,6 +61,30 @@
 	return chosen
 }
 
+// withNextWitnesses returns the next record with its witnesses. They are chosen once reports
+// have been collected for memberTimeout. Another process of a witness takes the place of the
+// former one, which has ended: it can't support the holder, nor break a promise of its own.
+// The store is told of such changes every confirmInterval at most.
+func (k Keeper) withNextWitnesses(next Record, now time.Time) Record {
+	addresses := next.Witnesses
+	if now.After(k.membersSince.Add(memberTimeout)) {
+		next = next.WithMembers(k.members.count())
+		addresses = k.nextWitnesses()
+	}
+	processes := make(map[rosemarylb.InstanceID]uint32, len(addresses))
+	for id := range addresses {
+		stored, found := next.WitnessProcesses[id]
+		m, known := k.members.get(id)
+		switch {
+		case found && (!known || now.Before(k.lastWriteAt.Add(confirmInterval))):
+			processes[id] = stored
+		case known:
+			processes[id] = m.process
+		}
+	}
+	return next.WithWitnesses(addresses, processes)
+}
+
 // withPauseCheck records that the keeper is running at the given time. A holder
 // whose process was paused drops all reports, because those from before the pause
 // do not show that the witnesses still support it.
@@ -80,10 +104,10 @@
 // quorum.
 func (k Keeper) hasWitnesses(now time.Time) bool {
 	since := now.Add(-witnessTimeout)
-	if !k.hasWitnessQuorum(k.record.Witnesses, since) {
+	if !k.hasWitnessQuorum(k.record, since) {
 		return false
 	}
-	return !k.writeMayTakeEffect() || k.hasWitnessQuorum(k.lastWrite.Record.Witnesses, since)
+	return !k.writeMayTakeEffect() || k.hasWitnessQuorum(k.lastWrite.Record, since)
 }
 
 // writeMayTakeEffect reports whether the last write may be stored without this instance
@@ -93,16 +117,16 @@
 	return k.writePending || k.recordUncertain || k.writeUnanswered && k.version == k.lastWrite.Replaces
 }
 
-// hasWitnessQuorum reports whether enough of the witnesses support this holder by answers
-// sent after a time.
-func (k Keeper) hasWitnessQuorum(witnesses map[rosemarylb.InstanceID]string, since time.Time) bool {
+// hasWitnessQuorum reports whether enough of the witnesses in a record support this holder
+// by answers sent after a time.
+func (k Keeper) hasWitnessQuorum(r Record, since time.Time) bool {
 	others, supporting := 0, 0
-	for id := range witnesses {
+	for id := range r.Witnesses {
 		if id == k.self {
 			continue
 		}
 		others++
-		if k.isSupportedBy(id, since) {
+		if k.isSupportedBy(id, r.WitnessProcesses[id], since) {
 			supporting++
 		}
 	}
@@ -110,12 +134,12 @@
 	return supporting >= required
 }
 
-// isSupportedBy reports whether a witness has accepted an answer of this holder that was
-// sent after a time. When its report was received doesn't count, as it may have been on
+// isSupportedBy reports whether a process of a witness has accepted an answer of this holder
+// that was sent after a time. When its report was received doesn't count, as it may have been on
 // its way since before the witness promised to ignore this holder.
-func (k Keeper) isSupportedBy(id rosemarylb.InstanceID, since time.Time) bool {
+func (k Keeper) isSupportedBy(id rosemarylb.InstanceID, process uint32, since time.Time) bool {
 	m, known := k.members.get(id)
-	return known && m.support.Token == k.token && m.support.AnsweredAt.After(since)
+	return known && m.process == process && m.support.Token == k.token && m.support.AnsweredAt.After(since)
 }
 
 // withWitnessCheck records since when the holder lacks witnesses.
@@ -138,7 +162,7 @@
 func (k Keeper) withWitnessEvent(event string, now time.Time) Keeper {
 	var supporting []string
 	for id := range k.record.Witnesses {
-		if id != k.self && k.isSupportedBy(id, now.Add(-witnessTimeout)) {
+		if id != k.self && k.isSupportedBy(id, k.record.WitnessProcesses[id], now.Add(-witnessTimeout)) {
 			supporting = append(supporting, string(id))
 		}
 	}
--- a/internal/failover/keeper/witness_test.go
+++ b/internal/failover/keeper/witness_test.go
@@ -93,7 +93,7 @@
 			"i0": "",
 			"i4": "",
 			"i5": "",
-		}).WithNextSequence(),
+		}, nil).WithNextSequence(),
 		Replaces: k.version,
 	}
 	unanswered := k.WithWriteUnanswered(now)
@@ -114,3 +114,79 @@
 		}
 	}
 }
+
+// newRestartedWitness returns a holder with the witnesses i1 and i2, of which i1 has just
+// been replaced by process 12: a former one, 11, may have promised to ignore the holder.
+func newRestartedWitness(now time.Time) Keeper {
+	k := newHolder(now)
+	k.members = members{}
+	k.record = k.record.WithWitnesses(map[rosemarylb.InstanceID]string{
+		"i0": "",
+		"i1": "",
+		"i2": "",
+	}, map[rosemarylb.InstanceID]uint32{
+		"i1": 11,
+		"i2": 21,
+	})
+	k.lastWrite.Record = k.record
+	k.membersSince = now
+	return withProcessReport(k, 12, now)
+}
+
+// withProcessReport returns the keeper with a report of a process of i1 that supports it.
+func withProcessReport(k Keeper, process uint32, now time.Time) Keeper {
+	return k.WithReport(Report{
+		From:    "i1",
+		Process: process,
+		Support: supportOf(k, now),
+	}, now)
+}
+
+// TestRestartedWitnessSupportsOnceItIsStored guards against a deposed holder that acts by a
+// witness which has forgotten its promise. The store refuses the record of such a holder.
+func TestRestartedWitnessSupportsOnceItIsStored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := newRestartedWitness(now)
+	if k.mayAct(now) {
+		t.Error("got a holder that acts by a process that the record does not name")
+	}
+	if !withProcessReport(k, 11, now).mayAct(now) {
+		t.Error("got a holder that does not act by the process that the record names")
+	}
+	k, d := k.Decide(now)
+	if d.Write == nil || d.Write.Record.WitnessProcesses["i1"] != 12 || d.Write.Record.WitnessProcesses["i2"] != 21 {
+		t.Fatalf("got write %+v, want one with process 12 of i1 and 21 of i2", d.Write)
+	}
+	if k.mayAct(now) {
+		t.Error("got a holder that acts by a process before it is stored")
+	}
+	refused := k.WithWriteConflict(k.record.WithHolder("i2", 21, "", k.version), version(2), now)
+	if refused.HoldsLease() {
+		t.Error("got a holder that acts after its successor has taken the lease")
+	}
+	k = k.WithWriteConfirmed(version(2), now)
+	k.confirmedAt = time.Time{}
+	if !k.mayAct(now) {
+		t.Error("got a holder that does not act by the stored process")
+	}
+}
+
+// TestProcessesOfWitnessesAreStoredAtMostEachConfirmInterval guards against a write for each
+// report where two processes of one instance report by turns.
+func TestProcessesOfWitnessesAreStoredAtMostEachConfirmInterval(t *testing.T) {
+	start := time.Unix(1000, 0)
+	k := newRestartedWitness(start)
+	k = withProcessReport(k, 11, start)
+	writes := 0
+	for now := start; now.Before(start.Add(memberTimeout)); now = now.Add(50 * time.Millisecond) {
+		k = withProcessReport(k, 11+uint32(now.Sub(start)/(100*time.Millisecond))%2, now)
+		var d Decision
+		if k, d = k.Decide(now); d.Write != nil {
+			writes++
+			k = k.WithWriteConfirmed(version(k.version.Revision+1), now)
+		}
+	}
+	if want := int(memberTimeout/confirmInterval) + 1; writes == 0 || writes > want {
+		t.Errorf("got %d writes in %s, want from 1 to %d", writes, memberTimeout, want)
+	}
+}
--- a/internal/failover/keeperduty/runner.go
+++ b/internal/failover/keeperduty/runner.go
@@ -44,6 +44,7 @@
 	nextTickAt      time.Time
 	notHolding      *duty.Latest[bool]
 	witness         *Witness
+	witnessProcess  uint32
 	endpoints       endpointList
 	catalog         rosemarylb.Catalog
 	grantLists      grantLists
@@ -85,6 +86,7 @@
 		nextTickAt:     time.Unix(1, 0),
 		notHolding:     duty.NewLatest(false),
 		witness:        &Witness{},
+		witnessProcess: k.WitnessProcess(),
 	}
 	for _, option := range options {
 		option(r)
@@ -107,6 +109,11 @@
 	return r.witness
 }
 
+// WitnessProcess returns the number that identifies this process as a witness.
+func (r *Runner) WitnessProcess() uint32 {
+	return r.witnessProcess
+}
+
 // NotHolding is true while this process neither holds the lease nor has to store its
 // release, and false until the first decision. A shutdown waits for it after
 // RetireRequested.
--- a/internal/peer/instance/permit_requester.go
+++ b/internal/peer/instance/permit_requester.go
@@ -334,6 +334,7 @@
 		Capacity:         uint32(pr.capacity),
 		Token:            pr.lastAnswer.token,
 		HolderMicros:     pr.lastAnswer.micros,
+		Process:          pr.keeperRunner.WitnessProcess(),
 		Catalog:          pr.catalogs.contentFor(pr.keeperToken, now),
 	}
 	encodeObservations(request, pr.proxyStatus.Load().Observations, pr.grantList, pr.keeperToken, now)
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -160,6 +160,7 @@
 		},
 		CatalogVersion: request.GetCatalogVersion(),
 		Capacity:       int(request.GetCapacity()),
+		Process:        request.GetProcess(),
 		Support:        decodeSupport(request),
 	}
 	for _, e := range request.GetEvidence() {
--- a/internal/peer/instance/permits_test.go
+++ b/internal/peer/instance/permits_test.go
@@ -29,6 +29,9 @@
 func TestRequestNamesLastAcceptedAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	pr, reply := sizedFleet(now)
+	if got, want := decodeReport(pr.newRequest(now), now).Process, pr.keeperRunner.WitnessProcess(); got != want {
+		t.Errorf("got process %d, want %d", got, want)
+	}
 	supportAfter := func(at time.Time) keeper.Support {
 		reply.AnsweredAt = at
 		pr.observeAnswer(encodePermitReply(reply, pr.newRequest(now)))
