Keeper: who takes a lease released too early waits for the holder before

What callers could see: two holders that act at a time, so that writes at a replaced primary are acknowledged or reads miss commits (ONE, STALE).

Cause: a taker that deposed its predecessor waits 2.3 s before its first order. If it gave the lease back sooner, was killed or yielded, the next holder took the lease for one that an ended holder had released, and did not wait for the one before, whose support outlasts the promises to ignore it by up to 0.8 s.

Change: the record is unsettled from such a takeover until its holder has waited. Who takes an unsettled lease waits as after a deposition.

Why this works: each holder either knows that all before it have ended, or waits for them, or hands the wait on.

--- a/internal/failover/keeper/era.go
+++ b/internal/failover/keeper/era.go
@@ -154,7 +154,7 @@
 // in a record of an earlier era may have been replaced after the copy was made: no
 // permit is given for them until their group has been probed.
 func (k Keeper) takenRecord() Record {
-	next := k.record.WithHolder(k.self, k.process, k.address, k.version)
+	next := k.record.WithHolder(k.self, k.process, k.address, k.version).WithUnsettled(!k.cleanTakeover)
 	if !k.staleTakeover {
 		return next
 	}
--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -190,10 +190,12 @@
 	witnessesLostAt    time.Time
 	// confirmedAt is when the last write that took effect was sent.
 	confirmedAt time.Time
-	// cleanTakeover is true if the previous holder had released the lease.
+	// cleanTakeover is true if the previous holder had released the lease and no holder
+	// before it may still act.
 	cleanTakeover bool
 	// ownTakeover is true if the previous holder was an earlier process of this
-	// instance. It has ended, but promotions that it sent may be in transit.
+	// instance, and no holder before it may still act. That process has ended, but
+	// promotions that it sent may be in transit.
 	ownTakeover bool
 	tenure      Tenure
 	// storeFailingSince is when the first of the unanswered writes was sent.
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -181,16 +181,16 @@
 		return k, k.reclaimedRecord(), k.mayReclaim(now)
 	}
 	if k.shuttingDown {
-		return k.nextRelease()
+		return k.nextRelease(now)
 	}
 	if !k.holdsLease {
 		k.staleTakeover = k.isStale(k.record, k.version)
-		k.cleanTakeover = k.leaseReleased() && !k.staleTakeover
-		k.ownTakeover = k.record.Holder == k.self
+		k.cleanTakeover = k.leaseReleased() && !k.staleTakeover && !k.record.Unsettled
+		k.ownTakeover = k.record.Holder == k.self && !k.record.Unsettled
 		k = k.withAvailability(now)
 		return k, k.takenRecord(), k.mayTakeLease(now)
 	}
-	next := k.withNextWitnesses(k.record, now)
+	next := k.withNextWitnesses(k.settledRecord(now), now)
 	changed := next.Members != k.record.Members || !next.hasWitnessesOf(k.record)
 	if k.needsNewToken(now) {
 		next = next.WithHolder(k.self, k.process, k.address, k.version)
@@ -212,11 +212,18 @@
 // lease to release. The lease ends before that record is written, not when the store
 // has confirmed it: the write may take effect without an answer, and its successor
 // acts at once then.
-func (k Keeper) nextRelease() (Keeper, Record, bool) {
+func (k Keeper) nextRelease(now time.Time) (Keeper, Record, bool) {
 	if k.holdsLease && !k.promotionPending() {
 		k = k.withOwnLeaseReleased("given back")
 	}
-	return k, k.record.WithoutHolder(), k.ReleasedToken() != 0
+	return k, k.settledRecord(now).WithoutHolder(), k.ReleasedToken() != 0
+}
+
+// settledRecord returns the record of this holder, settled once it has waited for its
+// predecessor to end. A release that comes earlier leaves the rest of the wait to the next
+// holder.
+func (k Keeper) settledRecord(now time.Time) Record {
+	return k.record.WithUnsettled(k.record.Unsettled && now.Before(k.promoteNotBefore))
 }
 
 // withOwnLeaseReleased ends this instance's lease before it expires. Other instances
--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -28,6 +28,9 @@
 	Token uint64 `json:"token"`
 	// Sequence increases with each write.
 	Sequence uint64 `json:"beat"`
+	// Unsettled is true while a holder before this one may still act: the present holder
+	// did not take a released lease, and has not waited for takeoverDelay yet.
+	Unsettled bool `json:"unsettled,omitempty"`
 	// Members is the number of instances that report to the holder.
 	Members int `json:"members"`
 	// Witnesses are instances and their addresses. The holder acts only while
@@ -94,6 +97,12 @@
 	return next
 }
 
+// WithUnsettled sets whether a holder before the present one may still act.
+func (r Record) WithUnsettled(unsettled bool) Record {
+	r.Unsettled = unsettled
+	return r
+}
+
 // WithMembers sets the number of instances.
 func (r Record) WithMembers(n int) Record {
 	r.Members = n
--- a/internal/failover/keeper/release_test.go
+++ b/internal/failover/keeper/release_test.go
@@ -91,3 +91,52 @@
 		t.Errorf("got write %+v and holds %t after the promotion, want a release and false", d.Write, holds)
 	}
 }
+
+// TestReleaseLeavesTheRestOfTheWaitToTheNextHolder guards against a holder that acts at once
+// since its predecessor has released the lease, while the holder that this predecessor had
+// deposed still acts.
+func TestReleaseLeavesTheRestOfTheWaitToTheNextHolder(t *testing.T) {
+	start := time.Unix(1000, 0)
+	deposed := Record{}.WithHolder("i8", 1, "", rosemarylb.Version{})
+	for _, test := range []struct {
+		name      string
+		after     time.Duration
+		yielded   bool
+		restarted bool
+		want      bool
+	}{
+		{"released at once", 0, false, false, true},
+		{"yielded at once", 0, true, false, true},
+		{"killed at once and started again", 0, false, true, true},
+		{"released after the wait", takeoverDelay, false, false, false},
+	} {
+		k, d := NewKeeper("i4", 1, "").WithRecord(deposed, version(1), start).WithHolderDeposed(deposed).Decide(start)
+		if d.Write == nil {
+			t.Fatalf("%s: got no takeover from the deposed holder", test.name)
+		}
+		stored := d.Write.Record
+		k = k.WithWriteConfirmed(version(2), start)
+		now := start.Add(test.after)
+		next := NewKeeper("i7", 1, "")
+		switch {
+		case test.restarted:
+			next = NewKeeper("i4", 2, "")
+		case test.yielded:
+			next = next.WithLeaseReleased(stored.Token)
+		default:
+			_, d = k.WithShutdown().Decide(now)
+			stored = d.Write.Record
+		}
+		next, d = next.WithRecord(stored, version(3), now).Decide(now)
+		if d.Write == nil {
+			t.Fatalf("%s: got no takeover by the next holder", test.name)
+		}
+		next = next.WithWriteConfirmed(version(4), now)
+		if got := next.promoteNotBefore.After(now); got != test.want {
+			t.Errorf("%s: got a wait for promotions %t, want %t", test.name, got, test.want)
+		}
+		if got := next.Tenure().GrantsFrom.After(now); got != test.want {
+			t.Errorf("%s: got a wait for grants %t, want %t", test.name, got, test.want)
+		}
+	}
+}
