Model of the keeper: seeds, forgotten promises and requests held up

Cause: the model had no questions to seeds, no restart of a witness that the store turns away, and no request that is under way for longer than 80 ms, so that none of the faults of these incidents showed in it.

Change: TestDeposedHolderFindsNoSupport, with 3, 5 and 9 instances. The store turns away the holder and about half of the others for up to 9 s; these ask seeds, restart and have their requests held up for up to 6 s; the holder is paused, the rest loses its path to the primary. All runs of the model check that no holder acts once its successor may grant.

--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -66,6 +66,7 @@
 	restores    storeRestores
 	replication modelReplication
 	darkness    modelDarkness
+	network     modelNetwork
 	// calm is true once no more faults begin.
 	calm           bool
 	storeDownUntil time.Time
@@ -107,6 +108,9 @@
 	nextDeposeAt         time.Time
 	storeAnsweredAt      time.Time
 	notification         keeper.Notification
+	// hint is the holder that a seed has named, with its token alone.
+	hint     keeper.Record
+	nextSeed int
 	// support is the last answer of a holder that the instance has accepted.
 	support keeper.Support
 	// latest is the record of the latest holder that the instance knows of.
@@ -126,6 +130,11 @@
 }
 
 func newSimulation(seed uint64) *simulation {
+	return newSimulationOf(seed, modelInstances)
+}
+
+// newSimulationOf returns a simulation with a number of instances.
+func newSimulationOf(seed uint64, instances int) *simulation {
 	s := &simulation{
 		seed:          seed,
 		random:        rand.New(rand.NewPCG(seed, 7)),
@@ -135,6 +144,7 @@
 		restores:      newStoreRestores(seed),
 		replication:   newModelReplication(seed),
 		darkness:      newModelDarkness(seed),
+		network:       newModelNetwork(seed),
 	}
 	for i := range 3 {
 		s.endpoints = append(s.endpoints, &simulatedEndpoint{
@@ -144,7 +154,7 @@
 		})
 	}
 	s.leader = s.endpoints[0]
-	for i := range modelInstances {
+	for i := range instances {
 		instance := &simulatedInstance{
 			id: rosemarylb.InstanceID("i" + strconv.Itoa(i)),
 		}
@@ -181,6 +191,7 @@
 	instance.permit = rosemarylb.Permit{}
 	instance.notification = keeper.Notification{}
 	instance.support = keeper.Support{}
+	instance.hint = keeper.Record{}
 	instance.latest = keeper.Record{}
 	instance.callbacks = nil
 	instance.instanceCutUntil = map[rosemarylb.InstanceID]time.Time{}
@@ -244,6 +255,7 @@
 			s.injectFault()
 			s.injectRestore()
 			s.injectReplicationFault()
+			s.injectDisturbance()
 		}
 		s.updateListing()
 		s.replicate()
@@ -260,6 +272,7 @@
 			s.step(instance)
 		}
 		s.checkPermits()
+		s.checkHolders()
 	}
 }
 
@@ -674,7 +687,11 @@
 	if instance.keeper.HoldsLease() {
 		instance.observe(instance.keeper.Record(), s.version(), s.now)
 	}
+	s.askSeed(instance)
 	record := instance.latest
+	if instance.hint.Token > record.Token {
+		record = instance.hint
+	}
 	if record.Holder == "" || !instance.witness.Accepts(record.Token) {
 		return
 	}
@@ -685,6 +702,7 @@
 	onHolder := callbackRunner(holder)
 	report := keeper.Report{
 		From:            instance.id,
+		Process:         instance.keeper.WitnessProcess(),
 		Support:         instance.support,
 		Address:         string(instance.id),
 		StoreAnsweredAt: instance.storeAnsweredAt,
@@ -693,7 +711,7 @@
 			Primary: instance.permit.Primary,
 		}},
 	}
-	s.schedule(80*time.Millisecond, func() {
+	s.scheduleRequest(instance, holder, func() {
 		onHolder(func() {
 			holder.keeper = holder.keeper.WithReport(report, s.now)
 			grants, holds := holder.keeper.Grants(s.now)
@@ -713,6 +731,7 @@
 						instance.support = answer
 					}
 					if holds && instance.witness.ObserveAnswer(record.Token, requestedAt) {
+						instance.witness.ObserveAnsweringHolder(record.Token, string(holder.id))
 						s.adoptPermits(instance, permit.FromGrants(grants, requestedAt))
 						if notifies {
 							instance.notification = keeper.Notification{
