Soak: holders of the lease that others depose

Cause: the soak cut no ways between instances, gave no seeds, and turned no holder away while it was suspended.

Change: `--deposed-holders` has the store turn away the holder and about half of the others, suspends the holder until the rest has deposed it, cuts the rest off from a primary, restarts some, and holds up the requests to the holder for up to 5 s. Requests to other instances then pass through links, whose addresses the stand-in of the store puts into the record and takes out of what is written (WithWrites). All instances have seeds.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -161,6 +161,7 @@
 	Callers   int    `long:"callers" default:"16" description:"number of callers"`
 	Restores  bool   `long:"restores" description:"restore the store from older copies"`
 	Sync      bool   `long:"sync-replicas" description:"acknowledge commits once a replica has them, and crash primaries while a replica drains"`
+	Deposed   bool   `long:"deposed-holders" description:"have the store turn away holders of the lease and others depose them"`
 	Dark      bool   `long:"dark-primaries" description:"have endpoints go dark as they are promoted"`
 }
 
@@ -185,8 +186,9 @@
 			Callers:   c.Callers,
 			Restores:  c.Restores,
 
-			SyncReplicas:  c.Sync,
-			DarkPrimaries: c.Dark,
+			SyncReplicas:   c.Sync,
+			DarkPrimaries:  c.Dark,
+			DeposedHolders: c.Deposed,
 		})
 		if err != nil {
 			return err
--- a/internal/experiment/soak/harness.go
+++ b/internal/experiment/soak/harness.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,12 @@
 	heartbeatInterval = 1200 * time.Millisecond
 	// groupSize is the number of endpoints in a replication group.
 	groupSize = 3
+	// proxyKind is the kind of the instances' own objects, recordName the name of the one
+	// that names the holder of the lease.
+	proxyKind  = "rosemarylb"
+	recordName = "keeper"
+	// maxSeeds is the number of instances that others ask for the holder.
+	maxSeeds = 3
 	// connectionLimit is the connection limit of an endpoint.
 	connectionLimit = 16
 )
@@ -55,6 +62,9 @@
 	storeView    *objects.View
 	// endpointLinks are the links to the endpoints, by endpoint name.
 	endpointLinks map[string]*Link
+	// peerLinks are the links to the other instances, by instance name, in runs that have
+	// them.
+	peerLinks map[string]*Link
 }
 
 // endpoint is a database server and its registration in the store.
@@ -134,7 +144,7 @@
 	}
 	h.publishConfig()
 	for i := range o.Instances {
-		if err := h.startInstance(i, o.Program); err != nil {
+		if err := h.startInstance(i, o); err != nil {
 			return err
 		}
 	}
@@ -270,53 +280,67 @@
 }
 
 // startInstance starts a process with its own loopback address, view of the store
-// and links. The view replaces the endpoints' addresses by those of the links.
-func (h *Harness) startInstance(number int, program string) error {
+// and links. The view replaces the addresses of endpoints, and those of other instances
+// where the run has links between them, by those of the links.
+func (h *Harness) startInstance(number int, o Options) error {
 	ip := h.network.host(number)
 	i := &instance{
-		name:          "front-" + strconv.Itoa(number),
+		name:          instanceName(number),
 		zone:          string(rune('a' + number%len(zoneRegions))),
 		frontAddress:  net.JoinHostPort(ip, "8784"),
 		endpointLinks: map[string]*Link{},
+		peerLinks:     map[string]*Link{},
 	}
-	addresses := map[string]string{}
+	var endpoints, peers addressPairs
 	for _, e := range h.endpoints {
-		l, stop, err := NewLink(e.server.Address())
+		l, err := h.startLink(e.server.Address())
 		if err != nil {
 			return err
 		}
-		h.cleanups = append(h.cleanups, stop)
 		i.endpointLinks[e.server.ID()] = l
-		addresses[e.server.Address()] = l.Address()
+		endpoints = append(endpoints, e.server.Address(), l.Address())
+	}
+	for other := range o.Instances {
+		if other == number || !o.DeposedHolders {
+			continue
+		}
+		l, err := h.startLink(h.controlAddress(other))
+		if err != nil {
+			return err
+		}
+		i.peerLinks[instanceName(other)] = l
+		peers = append(peers, h.controlAddress(other), l.Address())
 	}
 	i.storeView = h.store.View(func(kind string, spec json.RawMessage) json.RawMessage {
-		if kind != "servers" {
+		switch kind {
+		case "servers":
+			return endpoints.replace(spec)
+		case proxyKind:
+			return peers.replace(spec)
+		default:
 			return spec
 		}
-		text := string(spec)
-		for original, link := range addresses {
-			text = strings.ReplaceAll(text, strconv.Quote(original), strconv.Quote(link))
-		}
-		return json.RawMessage(text)
-	})
+	}, objects.WithWrites(func(_ string, spec json.RawMessage) json.RawMessage {
+		return peers.reversed().replace(spec)
+	}))
 	server := httptest.NewUnstartedServer(i.storeView)
 	server.Config.ErrorLog = discardLogger
 	server.Start()
-	l, stop, err := NewLink(strings.TrimPrefix(server.URL, "http://"))
+	h.cleanups = append(h.cleanups, func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	l, err := h.startLink(strings.TrimPrefix(server.URL, "http://"))
 	if err != nil {
 		return err
 	}
 	i.storeLink = l
-	h.cleanups = append(h.cleanups, func() {
-		server.CloseClientConnections()
-		server.Close()
-	}, stop)
 	settings := filepath.Join(h.folder, fmt.Sprintf("seed-%d-%s.json", h.seed, i.name))
-	if err := os.WriteFile(settings, i.settings(ip), 0o600); err != nil {
+	if err := os.WriteFile(settings, i.settings(ip, h.seedAddresses(o.Instances)), 0o600); err != nil {
 		return err
 	}
 	output := filepath.Join(h.folder, fmt.Sprintf("seed-%d-%s.log", h.seed, i.name))
-	i.process, err = startProcess(i.name, program, settings, output, h.recordUnexpectedExit)
+	i.process, err = startProcess(i.name, o.Program, settings, output, h.recordUnexpectedExit)
 	if err != nil {
 		return err
 	}
@@ -325,7 +349,54 @@
 	return nil
 }
 
-func (i *instance) settings(ip string) []byte {
+// startLink starts a link that ends with the harness.
+func (h *Harness) startLink(target string) (*Link, error) {
+	l, stop, err := NewLink(target)
+	if err != nil {
+		return nil, err
+	}
+	h.cleanups = append(h.cleanups, stop)
+	return l, nil
+}
+
+func instanceName(number int) string {
+	return "front-" + strconv.Itoa(number)
+}
+
+// controlAddress returns the address at which other instances reach an instance.
+func (h *Harness) controlAddress(number int) string {
+	return net.JoinHostPort(h.network.host(number), "8782")
+}
+
+// seedAddresses returns the addresses that instances ask for the holder of the lease.
+func (h *Harness) seedAddresses(instances int) []string {
+	var seeds []string
+	for number := range min(instances, maxSeeds) {
+		seeds = append(seeds, h.controlAddress(number))
+	}
+	return seeds
+}
+
+// addressPairs are addresses, each followed by the one that replaces it.
+type addressPairs []string
+
+// replace returns a text with the addresses replaced.
+func (p addressPairs) replace(spec json.RawMessage) json.RawMessage {
+	var quoted []string
+	for _, address := range p {
+		quoted = append(quoted, strconv.Quote(address))
+	}
+	return json.RawMessage(strings.NewReplacer(quoted...).Replace(string(spec)))
+}
+
+// reversed returns pairs that bring back the addresses.
+func (p addressPairs) reversed() addressPairs {
+	reversed := slices.Clone(p)
+	slices.Reverse(reversed)
+	return reversed
+}
+
+func (i *instance) settings(ip string, seeds []string) []byte {
 	text, err := json.Marshal(map[string]any{
 		"node_name": i.name, "role": "proxy", "ip": ip, "zone": i.zone, "region": zoneRegions[i.zone], "zones": zoneRegions,
 		"listen_addrs": map[string]string{
@@ -334,6 +405,7 @@
 		"port_range": []int{7440, 7455},
 		"limits":     map[string]any{"memory_mb": 284},
 		"bounds":     map[string]any{"grace_s": graceSeconds},
+		"seeds":      seeds,
 		"platform":   map[string]any{"address": i.storeLink.Address()},
 		"cloud_api":  map[string]any{"address": i.storeLink.Address()},
 	})
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -32,6 +32,10 @@
 	Restores bool
 	// DarkPrimaries adds steps in which an endpoint goes dark as it is promoted.
 	DarkPrimaries bool
+	// DeposedHolders adds steps in which the holder of the lease is deposed by instances that
+	// the store serves, while it does not serve the holder. Requests between instances then
+	// pass through links.
+	DeposedHolders bool
 	// SyncReplicas has the groups acknowledge commits once a replica has received them,
 	// and adds to the plan primaries that crash while a replica drains.
 	SyncReplicas bool
@@ -99,6 +103,9 @@
 	if o.DarkPrimaries {
 		steps = withDarkPrimaries(steps, o.Seed, o.Length)
 	}
+	if o.DeposedHolders {
+		steps = withDeposedHolders(steps, o.Seed, o.Length)
+	}
 	if o.SyncReplicas {
 		steps = withDrainingReplicas(steps, o.Seed, o.Length)
 	}
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -16,6 +16,7 @@
 	seedCount = flag.Int("count", 1, "number of seeds of a long run")
 	restores  = flag.Bool("restores", false, "restore the store from older copies in a long run")
 	replicas  = flag.Bool("sync-replicas", false, "have synchronous replicas in a long run")
+	deposed   = flag.Bool("deposed-holders", false, "have holders of the lease deposed in a long run")
 	dark      = flag.Bool("dark-primaries", false, "have promoted endpoints go dark in a long run")
 )
 
@@ -60,9 +61,10 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			runSeed(t, program, seed, cause, Options{
-				Restores:      *restores,
-				SyncReplicas:  *replicas,
-				DarkPrimaries: *dark,
+				Restores:       *restores,
+				SyncReplicas:   *replicas,
+				DarkPrimaries:  *dark,
+				DeposedHolders: *deposed,
 			})
 		})
 	}
@@ -92,6 +94,14 @@
 	})
 }
 
+// TestDeposedHoldersDoNotAct guards against ONE: a holder of the lease that the store turns
+// away, and that others have deposed, acts again by questions of its witnesses.
+func TestDeposedHoldersDoNotAct(t *testing.T) {
+	runSeeds(t, []uint64{46001, 46002}, Options{
+		DeposedHolders: true,
+	})
+}
+
 // runSeeds runs the seeds of a short run with the given options.
 func runSeeds(t *testing.T, seeds []uint64, o Options) {
 	t.Helper()
@@ -113,16 +123,17 @@
 	t.Helper()
 	folder := t.TempDir()
 	r, err := Run(Options{
-		Program:       program,
-		Folder:        folder,
-		Seed:          seed,
-		Length:        15 * time.Second,
-		Instances:     5,
-		Groups:        2,
-		Callers:       16,
-		Restores:      o.Restores,
-		SyncReplicas:  o.SyncReplicas,
-		DarkPrimaries: o.DarkPrimaries,
+		Program:        program,
+		Folder:         folder,
+		Seed:           seed,
+		Length:         15 * time.Second,
+		Instances:      5,
+		Groups:         2,
+		Callers:        16,
+		Restores:       o.Restores,
+		SyncReplicas:   o.SyncReplicas,
+		DarkPrimaries:  o.DarkPrimaries,
+		DeposedHolders: o.DeposedHolders,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -73,9 +73,7 @@
 		pageSize: 2,
 		promote:  promote,
 	}
-	s.defaultView = s.View(func(_ string, spec json.RawMessage) json.RawMessage {
-		return spec
-	})
+	s.defaultView = s.View(unchanged)
 	return s
 }
 
@@ -127,6 +125,13 @@
 	s.putLocked(kind, name, text)
 }
 
+// Spec returns the content of an object, nil if there is none.
+func (s *Store) Spec(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Spec
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
@@ -204,9 +209,11 @@
 
 // serveWrite handles a conditional write. A lost response closes the connection,
 // as if it had failed.
-func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request, parts []string, faults Faults) {
+func (v *View) serveWrite(w http.ResponseWriter, r *http.Request, parts []string, faults Faults) {
+	s := v.store
 	var object Object
 	_ = json.NewDecoder(r.Body).Decode(&object)
+	object.Spec = v.rewriteWrite(parts[1], object.Spec)
 	loseResponse := faults.LoseWriteResponses || rand.Float64() < faults.LoseWriteProbability
 	if loseResponse && faults.WriteDelay > 0 {
 		time.AfterFunc(faults.WriteDelay, func() {
@@ -226,7 +233,7 @@
 	case status == http.StatusOK && loseResponse:
 		panic(http.ErrAbortHandler)
 	default:
-		writeJSON(w, status, current)
+		writeJSON(w, status, v.rewritten(parts[1], current))
 	}
 }
 
--- a/internal/standin/objects/view.go
+++ b/internal/standin/objects/view.go
@@ -30,7 +30,9 @@
 // View serves the store to one instance.
 type View struct {
 	store   *Store
-	rewrite func(kind string, spec json.RawMessage) json.RawMessage
+	rewrite Rewrite
+	// rewriteWrite is applied to what the instance writes.
+	rewriteWrite Rewrite
 
 	mu          sync.Mutex
 	faults      Faults
@@ -38,15 +40,39 @@
 	callsByKind map[string]int
 }
 
+// Rewrite returns the content of an object of a kind as one side sees it.
+type Rewrite func(kind string, spec json.RawMessage) json.RawMessage
+
+// unchanged is the rewrite that changes nothing.
+func unchanged(_ string, spec json.RawMessage) json.RawMessage {
+	return spec
+}
+
+// ViewOption changes a view under construction.
+type ViewOption func(*View)
+
+// WithWrites sets the rewrite of the objects that the instance writes. The default
+// changes nothing.
+func WithWrites(rewrite Rewrite) ViewOption {
+	return func(v *View) {
+		v.rewriteWrite = rewrite
+	}
+}
+
 // View returns a view for one instance. Objects that it reads pass through the
 // rewrite function, and its calls have their own faults.
-func (s *Store) View(rewrite func(kind string, spec json.RawMessage) json.RawMessage) *View {
-	return &View{
-		store:   s,
-		rewrite: rewrite,
+func (s *Store) View(rewrite Rewrite, options ...ViewOption) *View {
+	v := &View{
+		store:        s,
+		rewrite:      rewrite,
+		rewriteWrite: unchanged,
 
 		callsByKind: map[string]int{},
 	}
+	for _, o := range options {
+		o(v)
+	}
+	return v
 }
 
 // SetFaults replaces the faults of calls through the view.
@@ -111,7 +137,7 @@
 	case len(parts) < 2 || parts[0] != "objects":
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method != http.MethodGet:
-		s.serveWrite(w, r, parts, faults)
+		v.serveWrite(w, r, parts, faults)
 	case len(parts) == 3:
 		v.serveGet(w, parts[1], parts[2])
 	case r.URL.Query().Get("watch") != "":
