--- a/internal/experiment/soak/harness.go
+++ b/internal/experiment/soak/harness.go
@@ -291,6 +291,38 @@
 		endpointLinks: map[string]*Link{},
 		peerLinks:     map[string]*Link{},
 	}
+	if err := h.startLinks(i, number, o); err != nil {
+		return err
+	}
+	server := httptest.NewUnstartedServer(i.storeView)
+	server.Config.ErrorLog = discardLogger
+	server.Start()
+	h.cleanups = append(h.cleanups, func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	l, err := h.startLink(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		return err
+	}
+	i.storeLink = l
+	settings := filepath.Join(h.folder, fmt.Sprintf("seed-%d-%s.json", h.seed, i.name))
+	if err := os.WriteFile(settings, i.settings(ip, h.seedAddresses(o.Instances)), 0o600); err != nil {
+		return err
+	}
+	output := filepath.Join(h.folder, fmt.Sprintf("seed-%d-%s.log", h.seed, i.name))
+	i.process, err = startProcess(i.name, o.Program, settings, output, h.recordUnexpectedExit)
+	if err != nil {
+		return err
+	}
+	h.cleanups = append(h.cleanups, i.process.Close)
+	h.instances = append(h.instances, i)
+	return nil
+}
+
+// startLinks starts the links of an instance to endpoints and other instances, and its view
+// of the store.
+func (h *Harness) startLinks(i *instance, number int, o Options) error {
 	var endpoints, peers addressPairs
 	for _, e := range h.endpoints {
 		l, err := h.startLink(e.server.Address())
@@ -323,29 +355,6 @@
 	}, objects.WithWrites(func(_ string, spec json.RawMessage) json.RawMessage {
 		return peers.reversed().replace(spec)
 	}))
-	server := httptest.NewUnstartedServer(i.storeView)
-	server.Config.ErrorLog = discardLogger
-	server.Start()
-	h.cleanups = append(h.cleanups, func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
-	l, err := h.startLink(strings.TrimPrefix(server.URL, "http://"))
-	if err != nil {
-		return err
-	}
-	i.storeLink = l
-	settings := filepath.Join(h.folder, fmt.Sprintf("seed-%d-%s.json", h.seed, i.name))
-	if err := os.WriteFile(settings, i.settings(ip, h.seedAddresses(o.Instances)), 0o600); err != nil {
-		return err
-	}
-	output := filepath.Join(h.folder, fmt.Sprintf("seed-%d-%s.log", h.seed, i.name))
-	i.process, err = startProcess(i.name, o.Program, settings, output, h.recordUnexpectedExit)
-	if err != nil {
-		return err
-	}
-	h.cleanups = append(h.cleanups, i.process.Close)
-	h.instances = append(h.instances, i)
 	return nil
 }
 
