Seeds: one function names the latest holder that an instance knows

Cause: the reply to a question for the holder and the reply of an instance that isn't the holder chose it twice, by the same rule.

Change: latestHolder. The comments on a witness's processes and on support say what they do.

--- a/internal/failover/keeper/record.go
+++ b/internal/failover/keeper/record.go
@@ -38,7 +38,7 @@
 	// lease expires.
 	Witnesses map[rosemarylb.InstanceID]string `json:"witnesses,omitempty"`
 	// WitnessProcesses identify the processes of the witnesses. One that has started since
-	// knows no promise of its predecessor, and doesn't count.
+	// knows no promise of its predecessor, and does not count.
 	WitnessProcesses map[rosemarylb.InstanceID]uint32 `json:"witness-processes,omitempty"`
 	// Groups are the primaries of the groups.
 	Groups map[rosemarylb.DatabaseName]Leadership `json:"groups"`
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -61,10 +61,9 @@
 	return chosen
 }
 
-// withNextWitnesses returns the next record with its witnesses. They are chosen once reports
-// have been collected for memberTimeout. Another process of a witness takes the place of the
-// former one, which has ended: it can't support the holder, nor break a promise of its own.
-// The store is told of such changes every confirmInterval at most.
+// withNextWitnesses returns the next record with its witnesses, which are chosen once
+// reports have been collected for memberTimeout. A new process of a witness replaces the
+// former one in the record, at most every confirmInterval.
 func (k Keeper) withNextWitnesses(next Record, now time.Time) Record {
 	addresses := next.Witnesses
 	if now.After(k.membersSince.Add(memberTimeout)) {
@@ -135,8 +134,8 @@
 }
 
 // isSupportedBy reports whether a process of a witness has accepted an answer of this holder
-// that was sent after a time. When its report was received doesn't count, as it may have been on
-// its way since before the witness promised to ignore this holder.
+// that was sent after a time. The time of receipt of its report does not count, as the
+// report may have been sent before a promise to ignore this holder.
 func (k Keeper) isSupportedBy(id rosemarylb.InstanceID, process uint32, since time.Time) bool {
 	m, known := k.members.get(id)
 	return known && m.process == process && m.support.Token == k.token && m.support.AnsweredAt.After(since)
--- a/internal/peer/instance/permits.go
+++ b/internal/peer/instance/permits.go
@@ -105,14 +105,16 @@
 }
 
 // withAnsweringHolder returns the reply of an instance that is not the holder with the
-// holder that answers it, if that is later than the one in the record. An instance that
-// the keeper notifies does not read the record.
+// latest holder that it knows.
 func withAnsweringHolder(reply keeperduty.PermitReply, w *keeperduty.Witness) keeperduty.PermitReply {
-	token, address := w.AnsweringHolder()
-	if !reply.IsHolder && token > reply.HolderToken {
-		reply.HolderToken = token
-		reply.HolderAddress = address
+	if reply.IsHolder {
+		return reply
 	}
+	latest := latestHolder(leaseHolder{
+		address: reply.HolderAddress,
+		token:   reply.HolderToken,
+	}, w)
+	reply.HolderAddress, reply.HolderToken = latest.address, latest.token
 	return reply
 }
 
--- a/internal/peer/instance/seed.go
+++ b/internal/peer/instance/seed.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"rosemarylb"
+	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/message/link"
 	"rosemarylb/internal/process/meter"
 
@@ -58,14 +59,28 @@
 	})
 	traffic.received(request, 0)
 	record := s.record.Load()
+	latest := latestHolder(leaseHolder{
+		address: record.Address,
+		token:   record.Token,
+	}, s.witness)
 	reply := &link.HolderReply{
-		Address: record.Address,
-		Token:   record.Token,
-	}
-	// An instance that the keeper notifies does not read the record.
-	if token, address := s.witness.AnsweringHolder(); token > record.Token {
-		reply.Address, reply.Token = address, token
+		Address: latest.address,
+		Token:   latest.token,
 	}
 	traffic.sent(reply, 0)
 	return reply, nil
 }
+
+// latestHolder returns the holder that answers this instance if it is later than the one
+// in the record, else the latter. An instance that the keeper notifies does not read the
+// record.
+func latestHolder(recorded leaseHolder, w *keeperduty.Witness) leaseHolder {
+	token, address := w.AnsweringHolder()
+	if token <= recorded.token {
+		return recorded
+	}
+	return leaseHolder{
+		address: address,
+		token:   token,
+	}
+}
