Keeper: whether a write is settled follows from the versions

Cause: writeUnanswered repeated what the versions say. The answer to a write, whether it took effect or not, brings another version than the one that it replaces, so that a write which replaces the present version has no answer.

The behaviour is the same.

--- a/internal/failover/keeper/keeper.go
+++ b/internal/failover/keeper/keeper.go
@@ -204,8 +204,6 @@
 	// lastWrite is the last write that was sent, pending or not.
 	lastWrite   Write
 	lastWriteAt time.Time
-	// writeUnanswered is true once the last write has not been answered in time.
-	writeUnanswered bool
 	// recordUncertain is true while an unanswered write may change the record.
 	recordUncertain bool
 	readNotBefore   time.Time
--- a/internal/failover/keeper/lease.go
+++ b/internal/failover/keeper/lease.go
@@ -80,7 +80,6 @@
 		k.storeFailingSince = k.lastWriteAt
 	}
 	k.writePending = false
-	k.writeUnanswered = true
 	k.recordUncertain = true
 	k.readNotBefore = now.Add(storeRetryDelay)
 	return k
@@ -164,7 +163,6 @@
 		return k, d
 	}
 	k.writePending = true
-	k.writeUnanswered = false
 	k.lastWrite = Write{
 		Record:   next.WithNextSequence(),
 		Replaces: k.version,
--- a/internal/failover/keeper/witness.go
+++ b/internal/failover/keeper/witness.go
@@ -111,9 +111,10 @@
 
 // writeMayTakeEffect reports whether the last write may be stored without this instance
 // knowing it. One that was not answered may be late, also after a read that does not show
-// it, until the version that it replaces has been replaced.
+// it, until the version that it replaces has been replaced. An answer, whichever it is, has
+// another version.
 func (k Keeper) writeMayTakeEffect() bool {
-	return k.writePending || k.recordUncertain || k.writeUnanswered && k.version == k.lastWrite.Replaces
+	return k.writePending || k.recordUncertain || k.version == k.lastWrite.Replaces
 }
 
 // hasWitnessQuorum reports whether enough of the witnesses in a record support this holder
