Tests: one report of support, one served keeper, one silence

Cause: five tests of the keeper repeated the loop of reports that withSupport has, two tests of instances listened and served a keeper by the same lines, and the model had the silence of a holder twice.

Change: withSupport reports for i0 too and is called by all; newServedKeeper is called by startKeeper and by the test of seeds; modelHolderSilence is in use at both places. Assertions are the same.

--- a/internal/failover/keeper/era_test.go
+++ b/internal/failover/keeper/era_test.go
@@ -64,12 +64,7 @@
 		var write Write
 		for now := start; now.Before(start.Add(time.Second)) && writtenAt.IsZero(); now = now.Add(50 * time.Millisecond) {
 			if reporting {
-				for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
-					k = k.WithReport(Report{
-						From:    id,
-						Support: supportOf(k, now),
-					}, now)
-				}
+				k = withSupport(k, supportOf(k, now), now)
 			}
 			if _, holds := k.Grants(now); reporting && !holds {
 				t.Errorf("%s: got no grants %s after the restore", name, now.Sub(start))
@@ -187,12 +182,7 @@
 		k.groups = nil
 		granted := false
 		for now := start; now.Before(start.Add(promotionCompletionTimeout + time.Second)); now = now.Add(100 * time.Millisecond) {
-			for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
-				k = k.WithReport(Report{
-					From:    id,
-					Support: supportOf(k, now),
-				}, now)
-			}
+			k = withSupport(k, supportOf(k, now), now)
 			k, _ = k.Decide(now)
 			for _, e := range k.endpoints["g"] {
 				k = k.WithStatus(Status{
--- a/internal/failover/keeper/failover_test.go
+++ b/internal/failover/keeper/failover_test.go
@@ -14,12 +14,7 @@
 	k := newHolder(now)
 	var sentAt []time.Time
 	for end := now.Add(6 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
-		for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
-			k = k.WithReport(Report{
-				From:    id,
-				Support: supportOf(k, now),
-			}, now)
-		}
+		k = withSupport(k, supportOf(k, now), now)
 		k = k.WithStatus(Status{
 			Group:    "g",
 			Endpoint: "e1",
--- a/internal/failover/keeper/orders_test.go
+++ b/internal/failover/keeper/orders_test.go
@@ -63,12 +63,7 @@
 // step lets the keeper decide once.
 func (r *orderRun) step() {
 	r.now = r.now.Add(orderRunStep)
-	for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
-		r.keeper = r.keeper.WithReport(Report{
-			From:    id,
-			Support: supportOf(r.keeper, r.now),
-		}, r.now)
-	}
+	r.keeper = withSupport(r.keeper, supportOf(r.keeper, r.now), r.now)
 	var d Decision
 	r.keeper, d = r.keeper.Decide(r.now)
 	if d.Write != nil && !r.storeAway {
--- a/internal/failover/keeper/release_test.go
+++ b/internal/failover/keeper/release_test.go
@@ -8,7 +8,8 @@
 )
 
 // newHolder returns the keeper of i0, which holds the lease without witnesses, has the
-// reports of i0 to i3, the support of the others and may grant permits for the primary e1 of the group g.
+// reports and the support of i0 to i3 and may grant permits for the primary e1 of the
+// group g.
 func newHolder(now time.Time) Keeper {
 	k := newReportedKeeper(now, make([]Observation, 4))
 	k.record = Record{}.WithHolder("i0", 1, "", rosemarylb.Version{}).WithLeadership("g", Leadership{
--- a/internal/failover/keeper/replication_test.go
+++ b/internal/failover/keeper/replication_test.go
@@ -62,12 +62,7 @@
 		if change, found := r.changes[after]; found {
 			r.keeper = change(r.keeper)
 		}
-		for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
-			r.keeper = r.keeper.WithReport(Report{
-				From:    id,
-				Support: supportOf(r.keeper, now),
-			}, now)
-		}
+		r.keeper = withSupport(r.keeper, supportOf(r.keeper, now), now)
 		var d Decision
 		r.keeper, d = r.keeper.Decide(now)
 		if d.Write != nil {
--- a/internal/failover/keeper/witness_test.go
+++ b/internal/failover/keeper/witness_test.go
@@ -15,9 +15,9 @@
 	}
 }
 
-// withSupport returns the keeper with a report of i1 to i3 that is received at a time.
+// withSupport returns the keeper with a report of i0 to i3 that is received at a time.
 func withSupport(k Keeper, s Support, receivedAt time.Time) Keeper {
-	for _, id := range []rosemarylb.InstanceID{"i1", "i2", "i3"} {
+	for _, id := range []rosemarylb.InstanceID{"i0", "i1", "i2", "i3"} {
 		k = k.WithReport(Report{
 			From:    id,
 			Support: s,
--- a/internal/failover/keeperduty/model_network_test.go
+++ b/internal/failover/keeperduty/model_network_test.go
@@ -20,9 +20,6 @@
 	modelMaxTransit = 6 * time.Second
 	// modelSeedCount is the number of instances that others ask for the holder.
 	modelSeedCount = 3
-	// modelHolderSilence is the time without an answer of the holder after which an instance
-	// asks seeds.
-	modelHolderSilence = 250 * time.Millisecond
 )
 
 var networkCount = flag.Int("network-count", 30, "number of consecutive seeds to simulate with a disturbed network")
--- a/internal/failover/keeperduty/model_test.go
+++ b/internal/failover/keeperduty/model_test.go
@@ -25,6 +25,9 @@
 	modelDuration  = 45 * time.Second
 	modelGroup     = rosemarylb.DatabaseName("g")
 	modelInstances = 5
+	// modelHolderSilence is the time without an answer of the holder after which an instance
+	// takes permits from the record, or asks seeds.
+	modelHolderSilence = 250 * time.Millisecond
 	// modelStopTime is how long a process runs on after a planned stop has begun.
 	modelStopTime = 4 * time.Second
 	// modelMaxQueueTime is the longest time that a promotion waits behind others.
@@ -678,7 +681,7 @@
 	} else {
 		s.readRecord(instance, func(record keeper.Record, version rosemarylb.Version) {
 			instance.keeper = instance.keeper.WithRecord(record, version, s.now)
-			if instance.witness.HolderSilence(s.now) > 250*time.Millisecond {
+			if instance.witness.HolderSilence(s.now) > modelHolderSilence {
 				s.adoptPermits(instance, permit.FromRecord(record, version.Era, requestedAt))
 			}
 			s.depose(instance, instance.latest)
--- a/internal/peer/instance/quota_requester_test.go
+++ b/internal/peer/instance/quota_requester_test.go
@@ -70,21 +70,30 @@
 func (r replies) Reject(_ rosemarylb.SessionID, q rosemarylb.Reply)    { r <- q }
 func (replies) Close(rosemarylb.SessionID)                             {}
 
-// startKeeper starts a keeper that serves other instances, and returns its address once
-// it holds the lease.
-func startKeeper(t *testing.T, c rosemarylb.Clock, catalog rosemarylb.Catalog) KeeperAddress {
+// newServedKeeper returns a keeper that is not started, and the address at which it is
+// served to other instances.
+func newServedKeeper(t *testing.T, c rosemarylb.Clock, self rosemarylb.InstanceID) (*keeperduty.Runner, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
+	runner := keeperduty.NewRunner(keeper.NewKeeper(self, 1, address), c)
+	t.Cleanup(ServeKeeper(listener, budget.NewBudget(1<<30, slog.New(slog.DiscardHandler)), c, runner,
+		func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{}),
+		func([]quota.Demand, chan<- quota.Reply) bool { return false }))
+	return runner, address
+}
+
+// startKeeper starts a keeper that serves other instances, and returns its address once
+// it holds the lease.
+func startKeeper(t *testing.T, c rosemarylb.Clock, catalog rosemarylb.Catalog) KeeperAddress {
+	t.Helper()
+	runner, address := newServedKeeper(t, c, "keeper")
 	store := &memoryStore{}
-	runner := keeperduty.NewRunner(keeper.NewKeeper("keeper", 1, address), c)
 	_, stop := runner.Start(store, store, store, duty.NewLatest(time.Time{}), duty.NewLatest(keeper.Notification{}))
 	t.Cleanup(stop)
-	t.Cleanup(ServeKeeper(listener, budget.NewBudget(1<<30, slog.New(slog.DiscardHandler)), c, runner, func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{}),
-		func([]quota.Demand, chan<- quota.Reply) bool { return false }))
 	runner.Ring().Put(keeperduty.CatalogChanged{
 		Catalog: catalog,
 	})
--- a/internal/peer/instance/seed_test.go
+++ b/internal/peer/instance/seed_test.go
@@ -2,41 +2,23 @@
 
 import (
 	"log/slog"
-	"net"
 	"testing"
 
 	"rosemarylb"
 	"rosemarylb/internal/failover/keeper"
 	"rosemarylb/internal/failover/keeperduty"
 	"rosemarylb/internal/message/link"
-	"rosemarylb/internal/process/budget"
 	"rosemarylb/internal/process/clock"
 	"rosemarylb/internal/process/duty"
 	"rosemarylb/internal/process/meter"
 	"rosemarylb/internal/traffic/proxy"
-	"rosemarylb/internal/traffic/quota"
 )
 
-// startSeed serves other instances for a keeper whose duty does not run, so that its ring
-// keeps all that they send to the keeper.
-func startSeed(t *testing.T) (*keeperduty.Runner, string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	runner := keeperduty.NewRunner(keeper.NewKeeper("seed", 1, address), clock.BootTime{})
-	t.Cleanup(ServeKeeper(listener, budget.NewBudget(1<<30, slog.New(slog.DiscardHandler)), clock.BootTime{}, runner,
-		func(rosemarylb.Catalog) {}, meter.NewMeter(meter.Location{}),
-		func([]quota.Demand, chan<- quota.Reply) bool { return false }))
-	return runner, address
-}
-
 // TestQuestionToSeedIsNoReport guards against a witness that supports a holder which it has
 // promised to ignore by asking it, as a seed, for the holder.
 func TestQuestionToSeedIsNoReport(t *testing.T) {
-	seed, address := startSeed(t)
+	// The duty of the seed's keeper does not run, so that its ring keeps what it is sent.
+	seed, address := newServedKeeper(t, clock.BootTime{}, "seed")
 	seed.LatestRecord().Store(keeper.Record{
 		Holder:  "h",
 		Address: "later",
