--- a/internal/experiment/soak/dark.go
+++ b/internal/experiment/soak/dark.go
@@ -62,7 +62,7 @@
 func (h *Harness) darken(order objects.PromotionRequest, random *rand.Rand) func() {
 	time.Sleep(time.Duration(random.Int64N(int64(promotionDelay))))
 	keeperAlone, kill := random.IntN(2) == 0, random.IntN(3) == 0
-	keeper := h.instances[slices.IndexFunc(h.instances, func(i *instance) bool { return i.name == order.Holder })]
+	keeper := h.instanceNamed(order.Holder)
 	target := h.endpoints[slices.IndexFunc(h.endpoints, func(e *endpoint) bool { return e.server.ID() == order.Endpoint })]
 	var restore func()
 	if keeperAlone {
--- a/internal/experiment/soak/depose.go
+++ b/internal/experiment/soak/depose.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -55,7 +54,10 @@
 		i.storeLink.Reset()
 	}
 	restoreTransit := h.holdRequests(turnedAway, holder)
-	restorePrimary := h.cutPrimary(served, random)
+	restorePrimary := func() {}
+	if _, primary := h.randomReplica(random); primary != nil {
+		restorePrimary = h.isolateFrom(primary, served)
+	}
 	holder.process.Signal(syscall.SIGSTOP)
 	time.Sleep(minHolderPause + time.Duration(random.Int64N(int64(maxHolderPause-minHolderPause))))
 	for _, i := range turnedAway {
@@ -82,11 +84,7 @@
 	if json.Unmarshal(h.store.Spec(proxyKind, recordName), &record) != nil {
 		return nil
 	}
-	n := slices.IndexFunc(h.instances, func(i *instance) bool { return i.name == record.Holder })
-	if n < 0 {
-		return nil
-	}
-	return h.instances[n]
+	return h.instanceNamed(record.Holder)
 }
 
 // splitAround returns the holder with about half of the other instances, and the rest, of
@@ -119,25 +117,3 @@
 		HoldToTarget: true,
 	})
 }
-
-// cutPrimary cuts a primary off from its replicas and from some instances. The returned
-// function ends this.
-func (h *Harness) cutPrimary(from []*instance, random *rand.Rand) func() {
-	_, primary := h.randomReplica(random)
-	if primary == nil {
-		return func() {}
-	}
-	var links []*Link
-	for _, i := range from {
-		links = append(links, i.endpointLinks[primary.server.ID()])
-	}
-	restoreLinks := injectLinkFaults(links, LinkFaults{
-		HoldToTarget:   true,
-		HoldFromTarget: true,
-	})
-	restoreReplication := h.cutReplicationFrom(primary)
-	return func() {
-		restoreReplication()
-		restoreLinks()
-	}
-}
--- a/internal/experiment/soak/plan.go
+++ b/internal/experiment/soak/plan.go
@@ -296,8 +296,14 @@
 // isolate cuts an endpoint off from all instances and from its group. The returned function
 // ends this.
 func (h *Harness) isolate(e *endpoint) func() {
+	return h.isolateFrom(e, h.instances)
+}
+
+// isolateFrom cuts an endpoint off from some instances and from its group. The returned
+// function ends this.
+func (h *Harness) isolateFrom(e *endpoint, instances []*instance) func() {
 	var links []*Link
-	for _, i := range h.instances {
+	for _, i := range instances {
 		links = append(links, i.endpointLinks[e.server.ID()])
 	}
 	restoreLinks := injectLinkFaults(links, LinkFaults{
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -117,30 +117,24 @@
 	}
 }
 
-// runSeed runs a seed with the settings of the given options that are not the same for
+// runSeed runs a seed with the given options, and with the settings that are the same for
 // all runs.
 func runSeed(t *testing.T, program string, seed uint64, cause string, o Options) {
 	t.Helper()
-	folder := t.TempDir()
-	r, err := Run(Options{
-		Program:        program,
-		Folder:         folder,
-		Seed:           seed,
-		Length:         15 * time.Second,
-		Instances:      5,
-		Groups:         2,
-		Callers:        16,
-		Restores:       o.Restores,
-		SyncReplicas:   o.SyncReplicas,
-		DarkPrimaries:  o.DarkPrimaries,
-		DeposedHolders: o.DeposedHolders,
-	})
+	o.Program = program
+	o.Folder = t.TempDir()
+	o.Seed = seed
+	o.Length = 15 * time.Second
+	o.Instances = 5
+	o.Groups = 2
+	o.Callers = 16
+	r, err := Run(o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if len(r.Violations) > 0 {
 		t.Errorf("%s\nfault found by this seed before: %s", r, cause)
-		logOutputs(t, folder)
+		logOutputs(t, o.Folder)
 	}
 }
 
